--- /dev/null
+++ b/src/routing/routing.cc
@@ -0,0 +1,135 @@
+#include "routing/routing.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "base/hash.h"
+
+namespace sequoialb {
+namespace {
+
+using Candidates = std::vector<RoutingCandidate>;
+
+template <typename LoadOf>
+std::optional<size_t> Least(const Candidates& candidates, LoadOf load_of,
+                            RoutingState& state) {
+  std::optional<size_t> best;
+  double best_load = std::numeric_limits<double>::max();
+  // Starting at another place each time spreads ties.
+  const size_t start =
+      state.next_turn++ % std::max<size_t>(1, candidates.size());
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    const size_t position = (start + i) % candidates.size();
+    const RoutingCandidate& candidate = candidates[position];
+    const double load = load_of(candidate) + candidate.penalty;
+    if (candidate.has_room && load < best_load) {
+      best = position;
+      best_load = load;
+    }
+  }
+  return best;
+}
+
+std::optional<size_t> LeastInFlightOf(const Candidates& candidates,
+                                      RoutingState& state) {
+  return Least(
+      candidates,
+      [](const RoutingCandidate& c) {
+        return static_cast<double>(c.in_flight);
+      },
+      state);
+}
+
+class Chooser {
+ public:
+  Chooser(const Candidates& candidates, uint64_t prefix_hash,
+          RoutingState& state)
+      : candidates_(candidates), prefix_hash_(prefix_hash), state_(state) {}
+
+  std::optional<size_t> operator()(const PrefixAffinity& policy) const {
+    if (prefix_hash_ == 0) {
+      return LeastInFlightOf(candidates_, state_);
+    }
+    const double bound = policy.load_bound * MeanWithRequest();
+    std::optional<size_t> best;
+    uint64_t best_score = 0;
+    for (size_t i = 0; i < candidates_.size(); ++i) {
+      const RoutingCandidate& candidate = candidates_[i];
+      const double load = candidate.in_flight + 1 + candidate.penalty;
+      if (!candidate.has_room || load > std::max(bound, 1.0)) {
+        continue;
+      }
+      // A server that is known to hold the prefix outranks every other.
+      const uint64_t score = candidate.holds_prefix
+                                 ? std::numeric_limits<uint64_t>::max()
+                                 : Hash64(candidate.backend, prefix_hash_);
+      if (!best || score > best_score) {
+        best = i;
+        best_score = score;
+      }
+    }
+    return best ? best : LeastInFlightOf(candidates_, state_);
+  }
+
+  std::optional<size_t> operator()(const LeastInFlight& /*policy*/) const {
+    return LeastInFlightOf(candidates_, state_);
+  }
+
+  std::optional<size_t> operator()(const LeastReported& /*policy*/) const {
+    return Least(
+        candidates_,
+        [](const RoutingCandidate& c) {
+          return static_cast<double>(c.reported);
+        },
+        state_);
+  }
+
+  std::optional<size_t> operator()(const RoundRobin& /*policy*/) const {
+    for (size_t i = 0; i < candidates_.size(); ++i) {
+      const size_t position = state_.next_turn++ % candidates_.size();
+      if (candidates_[position].has_room) {
+        return position;
+      }
+    }
+    return std::nullopt;
+  }
+
+  std::optional<size_t> operator()(const RandomChoice& /*policy*/) const {
+    std::vector<size_t> open;
+    for (size_t i = 0; i < candidates_.size(); ++i) {
+      if (candidates_[i].has_room) {
+        open.push_back(i);
+      }
+    }
+    if (open.empty()) {
+      return std::nullopt;
+    }
+    return open[state_.random() % open.size()];
+  }
+
+ private:
+  double MeanWithRequest() const {
+    double sum = 1;
+    for (const RoutingCandidate& candidate : candidates_) {
+      sum += candidate.in_flight;
+    }
+    return sum / static_cast<double>(candidates_.size());
+  }
+
+  const Candidates& candidates_;
+  uint64_t prefix_hash_;
+  RoutingState& state_;
+};
+
+}  // namespace
+
+std::optional<size_t> ChooseBackend(const RoutingPolicy& policy,
+                                    const Candidates& candidates,
+                                    uint64_t prefix_hash, RoutingState& state) {
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  return std::visit(Chooser(candidates, prefix_hash, state), policy);
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/test/fakes/fake_engine.cc
@@ -0,0 +1,598 @@
+// A stand-in for a model engine: continuous batching, a prefix cache, streams
+// that resume and cancel, lagging load reports, gappy cache events, and orders
+// with fencing numbers that it checks or ignores. It counts what it ran and
+// which headers it saw, so that tests can tell whether a refusal was true.
+//
+// Its answer is a function of the prompt: token i of an answer is "tI-HASH ",
+// so that any test can tell a whole answer from a wrong one.
+//
+// Words in a prompt that steer it: "KILLSERVER" makes the process lose all its
+// connections and come back after --restart-ms; "TOOLONG" is refused with 400;
+// "TOKENS=n" sets the answer's length.
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/ThreadPool.h>
+#include <docopt.h>
+#include <json/reader.h>
+#include <json/value.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <csignal>
+#include <iostream>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+
+#include "../fakes/announcer.h"
+#include "../fakes/engine_model.h"
+#include "base/hash.h"
+#include "base/time.h"
+#include "requests/chat_request.h"
+#include "settings/json_fields.h"
+
+namespace {
+
+using sequoialb::ChatKind;
+using sequoialb::ChatRequest;
+using sequoialb::Clock;
+using sequoialb::Duration;
+using sequoialb::FromSeconds;
+using sequoialb::Hash64;
+using sequoialb::JsonLine;
+using sequoialb::TimePoint;
+using sequoialb::fakes::EngineModel;
+using sequoialb::fakes::EngineOptions;
+using sequoialb::fakes::Sequence;
+using sequoialb::fakes::StepResult;
+
+constexpr char kUsage[] = R"(A stand-in for a model engine.
+
+Usage:
+  fake_engine --id=ID --listen=ADDRESS --hosts=LIST --service=NAME --domain=NAME
+              --models=LIST [options]
+
+Options:
+  --id=ID               Name of this backend server.
+  --listen=ADDRESS      IP:PORT to serve on.
+  --hosts=LIST          HTTP addresses of the domain's hosts, comma separated.
+  --service=NAME        Service that it belongs to.
+  --domain=NAME         Its failure domain.
+  --models=LIST         Models that it serves, comma separated.
+  --slots=N             Sequences at once [default: 16].
+  --kv-tokens=N         KV cache size [default: 200000].
+  --step-ms=X           Base time of a step [default: 8].
+  --step-ms-per-seq=X   Added for each sequence [default: 0.25].
+  --prefill-ms=X        Prefill time per token [default: 0.25].
+  --cache=N             Prefixes in its cache [default: 64].
+  --prefix-tokens=N     Tokens that a cached prefix saves [default: 64].
+  --tokens=N            Tokens of an answer [default: 16].
+  --report-lag-ms=N     Age of the load it reports [default: 300].
+  --announce-ms=N       Time between announcements [default: 400].
+  --event-loss=X        Share of cache events that are lost [default: 0.1].
+  --restart-ms=N        How long it is gone after KILLSERVER [default: 1500].
+  --checks-fencing      Refuse orders with an old fencing number.
+  --seed=N              Seed of its random choices [default: 1].
+  --speed=X             Divides all times [default: 1].
+)";
+
+constexpr size_t kMaxThreads = 512;
+constexpr uint32_t kMaxPromptTokens = 8'000;
+
+std::vector<std::string> SplitList(const std::string& text) {
+  std::vector<std::string> out;
+  size_t start = 0;
+  while (start <= text.size()) {
+    const size_t comma = std::min(text.find(',', start), text.size());
+    if (comma > start) {
+      out.push_back(text.substr(start, comma - start));
+    }
+    start = comma + 1;
+  }
+  return out;
+}
+
+struct Config {
+  std::string id;
+  std::string address;
+  std::string service;
+  std::string domain;
+  std::vector<std::string> hosts;
+  std::vector<std::string> models;
+  EngineOptions engine;
+  uint32_t tokens = 16;
+  sequoialb::milliseconds report_lag{300};
+  sequoialb::milliseconds announce{400};
+  double event_loss = 0.1;
+  sequoialb::milliseconds restart{1500};
+  bool checks_fencing = false;
+  uint64_t seed = 1;
+  double speed = 1;
+};
+
+// What the engine did, for tests.
+struct Tally {
+  std::atomic<uint64_t> started{0};
+  std::atomic<uint64_t> finished{0};
+  std::atomic<uint64_t> cancelled{0};
+  std::atomic<uint64_t> refused{0};
+  std::atomic<uint64_t> orders_taken{0};
+  std::atomic<uint64_t> orders_refused{0};
+  std::atomic<uint64_t> last_fencing{0};
+  std::atomic<uint64_t> credentials_seen{0};
+};
+
+class Engine {
+ public:
+  explicit Engine(const Config& config)
+      : config_(config), model_(config.engine), random_(config.seed) {
+    stepper_ = std::thread([this] { Steps(); });
+    announcer_ = std::thread([this] { Announces(); });
+  }
+
+  ~Engine() {
+    stopping_ = true;
+    changed_.notify_all();
+    stepper_.join();
+    announcer_.join();
+  }
+
+  const Config& config() const { return config_; }
+  Tally& tally() { return tally_; }
+
+  // Adds a sequence; tokens for it arrive by WaitForToken.
+  uint64_t Start(const ChatRequest& request, uint32_t first, uint32_t total) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Sequence sequence;
+    sequence.id = next_id_++;
+    sequence.prefix = request.prefix_hash();
+    sequence.prompt_tokens = request.prompt_tokens();
+    sequence.next = first;
+    sequence.total = total;
+    if (first < total) {
+      model_.Add(sequence);
+    }
+    emitted_[sequence.id] = first;
+    ++tally_.started;
+    changed_.notify_all();
+    return sequence.id;
+  }
+
+  // Waits until more than `have` tokens are there; returns how many are, or 0
+  // when the engine lost the sequence.
+  uint32_t WaitForTokens(uint64_t id, uint32_t have) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    const uint64_t epoch = epoch_;
+    tokens_.wait(lock, [&] {
+      return stopping_ || epoch_ != epoch || emitted_[id] > have;
+    });
+    return epoch_ != epoch || stopping_ ? 0 : emitted_[id];
+  }
+
+  void End(uint64_t id, bool finished) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    model_.Cancel(id);
+    emitted_.erase(id);
+    ++(finished ? tally_.finished : tally_.cancelled);
+  }
+
+  // Loses all sequences and connections, and is gone for a while.
+  void Die() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++epoch_;
+    model_ = EngineModel(config_.engine);
+    gone_until_ = Clock::now() + config_.restart;
+    incarnation_ = static_cast<uint64_t>(sequoialb::UnixMs()) + epoch_;
+    for (const int descriptor : connections_) {
+      ::shutdown(descriptor, SHUT_RDWR);
+    }
+    tokens_.notify_all();
+  }
+
+  bool gone() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return Clock::now() < gone_until_;
+  }
+
+  void AddConnection(int descriptor) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    connections_.insert(descriptor);
+  }
+  void RemoveConnection(int descriptor) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    connections_.erase(descriptor);
+  }
+
+  void Leave() { leaving_ = true; }
+
+  // Takes an order; false when its fencing number is older than one seen.
+  bool TakeOrder(uint64_t fencing) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const bool stale = fencing < tally_.last_fencing.load();
+    if (stale && config_.checks_fencing) {
+      ++tally_.orders_refused;
+      return false;
+    }
+    tally_.last_fencing = fencing;
+    ++tally_.orders_taken;
+    return true;
+  }
+
+  std::string TallyJson() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Json::Value json;
+    json["started"] = Json::UInt64(tally_.started.load());
+    json["finished"] = Json::UInt64(tally_.finished.load());
+    json["cancelled"] = Json::UInt64(tally_.cancelled.load());
+    json["refused"] = Json::UInt64(tally_.refused.load());
+    json["orders_taken"] = Json::UInt64(tally_.orders_taken.load());
+    json["orders_refused"] = Json::UInt64(tally_.orders_refused.load());
+    json["last_fencing"] = Json::UInt64(tally_.last_fencing.load());
+    json["credentials_seen"] = Json::UInt64(tally_.credentials_seen.load());
+    json["prefix_hits"] = Json::UInt64(model_.prefix_hits());
+    json["prefix_misses"] = Json::UInt64(model_.prefix_misses());
+    json["running"] = Json::UInt64(model_.running());
+    json["waiting"] = Json::UInt64(model_.waiting());
+    json["most_running"] = Json::UInt64(most_running_);
+    return JsonLine(json);
+  }
+
+ private:
+  void Steps() {
+    while (!stopping_) {
+      StepResult result;
+      {
+        std::unique_lock<std::mutex> lock(mutex_);
+        changed_.wait(lock, [this] { return stopping_ || !model_.idle(); });
+        if (stopping_) {
+          break;
+        }
+        result = model_.Step();
+        most_running_ =
+            std::max(most_running_, model_.running() + model_.waiting());
+      }
+      std::this_thread::sleep_for(
+          FromSeconds(result.duration_ms / 1000 / config_.speed));
+      {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (const auto& [id, token] : result.tokens) {
+          const auto found = emitted_.find(id);
+          if (found != emitted_.end()) {
+            found->second = token + 1;
+          }
+        }
+        for (const uint64_t prefix : result.newly_cached) {
+          std::uniform_real_distribution<double> draw(0, 1);
+          if (draw(random_) >= config_.event_loss) {
+            announced_prefixes_.insert(prefix);
+          }
+        }
+      }
+      tokens_.notify_all();
+    }
+    tokens_.notify_all();
+  }
+
+  void Announces() {
+    sequoialb::fakes::Announcer announcer(config_.hosts);
+    std::deque<std::pair<TimePoint, std::pair<size_t, size_t>>> loads;
+    while (!stopping_) {
+      if (!gone()) {
+        announcer.Announce(Announcement(loads));
+      }
+      std::unique_lock<std::mutex> lock(mutex_);
+      changed_.wait_for(lock, Wait(), [this] { return stopping_.load(); });
+    }
+  }
+
+  Duration Wait() const { return config_.announce; }
+
+  std::string Announcement(
+      std::deque<std::pair<TimePoint, std::pair<size_t, size_t>>>& loads) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const TimePoint now = Clock::now();
+    loads.emplace_back(now, std::make_pair(model_.running(), model_.waiting()));
+    while (loads.size() > 1 && loads[1].first + config_.report_lag <= now) {
+      loads.pop_front();
+    }
+    Json::Value json;
+    json["id"] = config_.id;
+    json["address"] = config_.address;
+    json["service"] = config_.service;
+    json["failure_domain"] = config_.domain;
+    for (const std::string& model : config_.models) {
+      json["models"].append(model);
+    }
+    json["slots"] = config_.engine.slots;
+    json["leaving"] = leaving_.load();
+    json["checks_fencing"] = config_.checks_fencing;
+    json["running"] = Json::UInt64(loads.front().second.first);
+    json["waiting"] = Json::UInt64(loads.front().second.second);
+    json["incarnation"] = Json::UInt64(incarnation_);
+    json["cached_prefixes"] = Json::Value(Json::arrayValue);
+    // Evicted prefixes leave the announcement late, as cache events do.
+    std::set<uint64_t> cached(model_.cache().begin(), model_.cache().end());
+    for (auto prefix = announced_prefixes_.begin();
+         prefix != announced_prefixes_.end();) {
+      if (cached.count(*prefix) == 0) {
+        prefix = announced_prefixes_.erase(prefix);
+        continue;
+      }
+      std::array<char, 17> text{};
+      std::snprintf(text.data(), text.size(), "%016llx",
+                    static_cast<unsigned long long>(
+                        *prefix));  // NOLINT(google-runtime-int)
+      json["cached_prefixes"].append(text.data());
+      ++prefix;
+    }
+    return JsonLine(json);
+  }
+
+  const Config config_;
+  Tally tally_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::condition_variable tokens_;
+  EngineModel model_;
+  std::mt19937_64 random_;
+  std::map<uint64_t, uint32_t> emitted_;
+  std::set<uint64_t> announced_prefixes_;
+  std::set<int> connections_;
+  uint64_t next_id_ = 1;
+  uint64_t epoch_ = 0;
+  uint64_t incarnation_ = static_cast<uint64_t>(sequoialb::UnixMs());
+  size_t most_running_ = 0;
+  TimePoint gone_until_;
+  std::atomic<bool> leaving_{false};
+  std::atomic<bool> stopping_{false};
+  std::thread stepper_;
+  std::thread announcer_;
+};
+
+uint32_t AnswerTokens(const std::string& prompt, const Json::Value& body,
+                      uint32_t usual) {
+  const size_t at = prompt.find("TOKENS=");
+  uint32_t total = usual;
+  if (at != std::string::npos) {
+    total = static_cast<uint32_t>(
+        std::strtoul(prompt.c_str() + at + 7, nullptr, 10));
+  }
+  if (body["max_tokens"].isUInt()) {
+    total = std::min(total, body["max_tokens"].asUInt());
+  }
+  return std::max(1U, total);
+}
+
+std::string TokenText(const std::string& prompt, uint32_t number) {
+  std::array<char, 48> text{};
+  std::snprintf(text.data(), text.size(), "t%u-%04x ", number,
+                static_cast<unsigned>(Hash64(prompt) & 0xFFFFU));
+  return text.data();
+}
+
+class Handler : public Poco::Net::HTTPRequestHandler {
+ public:
+  explicit Handler(Engine& engine) : engine_(engine) {}
+
+  void handleRequest(Poco::Net::HTTPServerRequest& request,
+                     Poco::Net::HTTPServerResponse& response) override {
+    auto& socket =
+        static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+    const int descriptor = socket.impl()->sockfd();
+    if (engine_.gone()) {
+      ::shutdown(descriptor, SHUT_RDWR);
+      return;
+    }
+    if (request.has("Authorization") || request.has("X-Api-Key")) {
+      ++engine_.tally().credentials_seen;
+    }
+    engine_.AddConnection(descriptor);
+    try {
+      Route(request, response);
+    } catch (const Poco::Exception&) {  // NOLINT(bugprone-empty-catch)
+      // The caller is gone.
+    }
+    engine_.RemoveConnection(descriptor);
+  }
+
+ private:
+  void Route(Poco::Net::HTTPServerRequest& request,
+             Poco::Net::HTTPServerResponse& response) {
+    const std::string& path = request.getURI();
+    const std::string body(std::istreambuf_iterator<char>(request.stream()),
+                           {});
+    if (path == "/tally") {
+      Send(response, 200, engine_.TallyJson());
+    } else if (path == "/leave") {
+      engine_.Leave();
+      Send(response, 200, "{}");
+    } else if (path == "/die") {
+      Send(response, 200, "{}");
+      engine_.Die();
+    } else if (path == "/v1/orders") {
+      Order(body, response);
+    } else {
+      Chat(path, body, response);
+    }
+  }
+
+  void Order(const std::string& body, Poco::Net::HTTPServerResponse& response) {
+    const auto json = sequoialb::JsonDocument::Parse(body, "order");
+    if (!json || !json->root["fencing"].isUInt64()) {
+      Send(response, 400, R"({"error":"no fencing number"})");
+    } else if (engine_.TakeOrder(json->root["fencing"].asUInt64())) {
+      Send(response, 200, R"({"done":true})");
+    } else {
+      Send(response, 409, R"({"error":"old fencing number"})");
+    }
+  }
+
+  void Chat(const std::string& path, const std::string& body,
+            Poco::Net::HTTPServerResponse& response) {
+    const auto request = sequoialb::ParseChatRequest(path, body);
+    const bool too_long =
+        request && (request->prompt.find("TOOLONG") != std::string::npos ||
+                    request->prompt_tokens() > kMaxPromptTokens);
+    if (!request || too_long) {
+      ++engine_.tally().refused;
+      Send(response, 400,
+           R"({"error":"the prompt is too long for this model"})");
+      return;
+    }
+    const Json::Value& resume = request->body["resume_from"];
+    const uint32_t first = resume.isUInt() ? resume.asUInt() : 0;
+    const uint32_t total =
+        AnswerTokens(request->prompt, request->body, engine_.config().tokens);
+    if (request->prompt.find("KILLSERVER") != std::string::npos) {
+      ++engine_.tally().started;
+      engine_.Die();
+      return;
+    }
+    Stream(*request, first, total, response);
+  }
+
+  void Stream(const ChatRequest& request, uint32_t first, uint32_t total,
+              Poco::Net::HTTPServerResponse& response) {
+    const uint64_t id = engine_.Start(request, first, total);
+    response.setChunkedTransferEncoding(true);
+    response.setContentType("text/event-stream");
+    uint32_t sent = first;
+    bool finished = false;
+    try {
+      std::ostream& out = response.send();
+      out << std::flush;
+      while (sent < total) {
+        const uint32_t have = engine_.WaitForTokens(id, sent);
+        if (have == 0) {
+          break;
+        }
+        for (; sent < have; ++sent) {
+          out << Event(request, sent, total);
+        }
+        out << std::flush;
+        if (!out.good()) {
+          break;
+        }
+      }
+      finished = sent >= total;
+      if (finished) {
+        out << "data: [DONE]\n\n" << std::flush;
+      }
+    } catch (const Poco::Exception&) {
+      finished = false;
+    }
+    engine_.End(id, finished);
+    if (!finished) {
+      throw Poco::Exception("stream ended early");
+    }
+  }
+
+  static std::string Event(const ChatRequest& request, uint32_t number,
+                           uint32_t total) {
+    const std::string text = JsonLine(TokenText(request.prompt, number));
+    const std::string content = request.kind == ChatKind::kChat
+                                    ? "\"delta\":{\"content\":" + text + "}"
+                                    : "\"text\":" + text;
+    const std::string reason = number + 1 == total ? "\"stop\"" : "null";
+    return "data: {\"choices\":[{\"index\":0," + content +
+           ",\"finish_reason\":" + reason +
+           "}],\"seq\":" + std::to_string(number) + "}\n\n";
+  }
+
+  static void Send(Poco::Net::HTTPServerResponse& response, int status,
+                   const std::string& json) {
+    response.setStatus(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    response.setContentType("application/json");
+    response.sendBuffer(json.data(), json.size());
+  }
+
+  Engine& engine_;
+};
+
+class Factory : public Poco::Net::HTTPRequestHandlerFactory {
+ public:
+  explicit Factory(Engine& engine) : engine_(engine) {}
+  Poco::Net::HTTPRequestHandler* createRequestHandler(
+      const Poco::Net::HTTPServerRequest& /*request*/) override {
+    return std::make_unique<Handler>(engine_).release();
+  }
+
+ private:
+  Engine& engine_;
+};
+
+Config ReadConfig(const std::map<std::string, docopt::value>& arguments) {
+  const auto text = [&arguments](const char* name) {
+    return arguments.at(name).asString();
+  };
+  const auto number = [&text](const char* name) {
+    return std::stod(text(name));
+  };
+  Config config;
+  config.id = text("--id");
+  config.address = text("--listen");
+  config.service = text("--service");
+  config.domain = text("--domain");
+  config.hosts = SplitList(text("--hosts"));
+  config.models = SplitList(text("--models"));
+  config.engine.slots = static_cast<uint32_t>(number("--slots"));
+  config.engine.kv_tokens = static_cast<uint64_t>(number("--kv-tokens"));
+  config.engine.step_ms = number("--step-ms");
+  config.engine.step_ms_per_sequence = number("--step-ms-per-seq");
+  config.engine.prefill_ms_per_token = number("--prefill-ms");
+  config.engine.cached_prefixes = static_cast<size_t>(number("--cache"));
+  config.engine.prefix_tokens =
+      static_cast<uint32_t>(number("--prefix-tokens"));
+  config.tokens = static_cast<uint32_t>(number("--tokens"));
+  config.report_lag =
+      sequoialb::milliseconds(std::stol(text("--report-lag-ms")));
+  config.announce = sequoialb::milliseconds(std::stol(text("--announce-ms")));
+  config.event_loss = number("--event-loss");
+  config.restart = sequoialb::milliseconds(std::stol(text("--restart-ms")));
+  config.checks_fencing = arguments.at("--checks-fencing").asBool();
+  config.seed = std::stoull(text("--seed"));
+  config.speed = number("--speed");
+  return config;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc});
+  sigset_t stop_signals;
+  sigemptyset(&stop_signals);
+  sigaddset(&stop_signals, SIGTERM);
+  sigaddset(&stop_signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &stop_signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  Engine engine(ReadConfig(arguments));
+  Poco::ThreadPool pool(4, kMaxThreads + 4);
+  Poco::Net::ServerSocket socket;
+  try {
+    socket.bind(Poco::Net::SocketAddress(engine.config().address), true);
+    socket.listen(1024);
+  } catch (const Poco::Exception& e) {
+    std::cerr << "fake_engine: " << engine.config().address << ": "
+              << e.displayText() << "\n";
+    return 1;
+  }
+  Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+  params->setMaxThreads(kMaxThreads);
+  params->setMaxQueued(1024);
+  params->setKeepAliveTimeout(Poco::Timespan(30, 0));
+  Poco::Net::HTTPServer server(new Factory(engine), pool, socket, params);
+  server.start();
+  int signal = 0;
+  sigwait(&stop_signals, &signal);
+  std::_Exit(0);
+}
