--- /dev/null
+++ b/src/client/caller_client.cc
@@ -0,0 +1,160 @@
+#include "client/caller_client.h"
+
+#include <json/value.h>
+
+#include "requests/chat_request.h"
+#include "requests/sse_parser.h"
+#include "settings/json_fields.h"
+
+namespace sequoialb {
+namespace {
+
+constexpr int kOk = 200;
+
+std::string ChatBody(const AskOptions& options) {
+  Json::Value body;
+  body["model"] = options.model;
+  body["stream"] = true;
+  Json::Value message;
+  message["role"] = "user";
+  message["content"] = options.prompt;
+  body["messages"].append(message);
+  return JsonLine(body);
+}
+
+// Follows an answer's event stream.
+class AnswerReader {
+ public:
+  explicit AnswerReader(const std::function<void(const std::string&)>& on_text)
+      : on_text_(on_text) {}
+
+  void Feed(std::string_view bytes) {
+    raw_.append(raw_.size() < kRawKept ? bytes : std::string_view());
+    parser_.Feed(bytes);
+    while (const auto data = parser_.Next()) {
+      Take(*data);
+    }
+  }
+
+  bool whole() const { return whole_; }
+  const std::string& text() const { return text_; }
+  const std::string& raw() const { return raw_; }
+  const std::string& problem() const { return problem_; }
+
+ private:
+  static constexpr size_t kRawKept = 64U << 10U;
+
+  void Take(const std::string& data) {
+    if (data == "[DONE]") {
+      whole_ = true;
+      return;
+    }
+    if (data.find("\"code\":") != std::string::npos &&
+        data.find("\"choices\":") == std::string::npos) {
+      problem_ = data;
+      return;
+    }
+    const Result<ChatChunk> chunk = ParseChatChunk(data, ChatKind::kChat);
+    if (chunk && !chunk->text.empty()) {
+      text_ += chunk->text;
+      if (on_text_) {
+        on_text_(chunk->text);
+      }
+    }
+  }
+
+  const std::function<void(const std::string&)>& on_text_;
+  SseParser parser_;
+  std::string raw_;
+  std::string text_;
+  std::string problem_;
+  bool whole_ = false;
+};
+
+std::string HeaderOf(const HttpAnswer& answer, const std::string& name) {
+  const auto found = answer.headers.find(name);
+  return found == answer.headers.end() ? "" : found->second;
+}
+
+}  // namespace
+
+Result<AskOutcome> Ask(const AskOptions& options,
+                       const std::function<void(const std::string&)>& on_text) {
+  HttpCall call;
+  call.method = "POST";
+  call.server = options.server;
+  call.path = "/v1/chat/completions";
+  call.body = ChatBody(options);
+  call.deadline = options.deadline;
+  call.ca_file = options.ca_file;
+  call.headers["Authorization"] = "Bearer " + options.key;
+  if (!options.idempotency_key.empty()) {
+    call.headers["Idempotency-Key"] = options.idempotency_key;
+  }
+  AnswerReader reader(on_text);
+  Result<HttpAnswer> answer =
+      CallHttp(call, [&reader](std::string_view bytes) { reader.Feed(bytes); });
+  if (!answer) {
+    return tl::unexpected<Error>(answer.error());
+  }
+  if (answer->status != kOk) {
+    answer->body = reader.raw();
+    return tl::unexpected<Error>(ErrorFromAnswer(*answer));
+  }
+  if (!reader.problem().empty()) {
+    answer->body = reader.problem();
+    return tl::unexpected<Error>(ErrorFromAnswer(*answer));
+  }
+  if (!reader.whole()) {
+    return Fail(ErrorCode::kIo, "the answer broke off", RunState::kUnknown);
+  }
+  return AskOutcome{HeaderOf(*answer, "X-Sequoialb-Item"), reader.text(),
+                    HeaderOf(*answer, "X-Sequoialb-Repeated") == "true"};
+}
+
+Result<std::string> StartBatch(const std::string& server,
+                               const std::string& key, const std::string& lines,
+                               const std::string& window,
+                               const std::string& idempotency_key,
+                               TimePoint deadline, const std::string& ca_file) {
+  HttpCall upload;
+  upload.method = "POST";
+  upload.server = server;
+  upload.path = "/v1/files";
+  upload.body = lines;
+  upload.content_type = "application/jsonl";
+  upload.deadline = deadline;
+  upload.ca_file = ca_file;
+  upload.headers["Authorization"] = "Bearer " + key;
+  const Result<HttpAnswer> file = CallHttp(upload);
+  if (!file) {
+    return tl::unexpected<Error>(file.error());
+  }
+  const auto file_json = JsonDocument::Parse(file->body, "answer");
+  if (file->status != kOk || !file_json) {
+    return tl::unexpected<Error>(ErrorFromAnswer(*file));
+  }
+  Json::Value body;
+  body["input_file_id"] = file_json->root["id"];
+  body["endpoint"] = "/v1/chat/completions";
+  if (!window.empty()) {
+    body["completion_window"] = window;
+  }
+  HttpCall create = upload;
+  create.path = "/v1/batches";
+  create.body = JsonLine(body);
+  create.content_type = "application/json";
+  if (!idempotency_key.empty()) {
+    create.headers["Idempotency-Key"] = idempotency_key;
+  }
+  const Result<HttpAnswer> batch = CallHttp(create);
+  if (!batch) {
+    return tl::unexpected<Error>(batch.error());
+  }
+  if (batch->status != kOk) {
+    return tl::unexpected<Error>(ErrorFromAnswer(*batch));
+  }
+  return batch->body;
+}
+
+}  // namespace sequoialb
--- a/test/fakes/announcer.h
+++ b/src/emulator/announcer.h
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-namespace sequoialb::fakes {
+namespace sequoialb::emulator {
 
 class Announcer {
  public:
@@ -63,4 +63,4 @@
   std::unique_ptr<Poco::Net::HTTPClientSession> session_;
 };
 
-}  // namespace sequoialb::fakes
+}  // namespace sequoialb::emulator
--- a/test/fakes/engine_model.h
+++ b/src/emulator/engine_model.h
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-namespace sequoialb::fakes {
+namespace sequoialb::emulator {
 
 struct EngineOptions {
   uint32_t slots = 16;
@@ -142,4 +142,4 @@
   uint64_t prefix_misses_ = 0;
 };
 
-}  // namespace sequoialb::fakes
+}  // namespace sequoialb::emulator
--- a/test/fakes/fake_engine.cc
+++ b/src/emulator/engine_server.cc
@@ -1,124 +1,33 @@
-// A stand-in for a model engine: continuous batching, a prefix cache, streams
-// that resume and cancel, lagging load reports, gappy cache events, and orders
-// with fencing numbers that it checks or ignores. It counts what it ran and
-// which headers it saw, so that tests can tell whether a refusal was true.
-//
-// Its answer is a function of the prompt: token i of an answer is "tI-HASH ",
-// so that any test can tell a whole answer from a wrong one.
-//
-// Words in a prompt that steer it: "KILLSERVER" makes the process lose all its
-// connections and come back after --restart-ms; "TOOLONG" is refused with 400;
-// "TOKENS=n" sets the answer's length.
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerParams.h>
+#include "emulator/engine_server.h"
+
+#include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/ThreadPool.h>
-#include <docopt.h>
 #include <json/reader.h>
 #include <json/value.h>
 #include <sys/socket.h>
 
 #include <atomic>
 #include <condition_variable>
-#include <csignal>
-#include <iostream>
 #include <mutex>
 #include <random>
 #include <set>
 #include <thread>
 
-#include "../fakes/announcer.h"
-#include "../fakes/engine_model.h"
 #include "base/hash.h"
 #include "base/time.h"
+#include "emulator/announcer.h"
+#include "emulator/engine_model.h"
+#include "emulator/stand_in_server.h"
 #include "requests/chat_request.h"
 #include "settings/json_fields.h"
 
+namespace sequoialb::emulator {
 namespace {
 
-using sequoialb::ChatKind;
-using sequoialb::ChatRequest;
-using sequoialb::Clock;
-using sequoialb::Duration;
-using sequoialb::FromSeconds;
-using sequoialb::Hash64;
-using sequoialb::JsonLine;
-using sequoialb::TimePoint;
-using sequoialb::fakes::EngineModel;
-using sequoialb::fakes::EngineOptions;
-using sequoialb::fakes::Sequence;
-using sequoialb::fakes::StepResult;
-
-constexpr char kUsage[] = R"(A stand-in for a model engine.
-
-Usage:
-  fake_engine --id=ID --listen=ADDRESS --hosts=LIST --service=NAME --domain=NAME
-              --models=LIST [options]
-
-Options:
-  --id=ID               Name of this backend server.
-  --listen=ADDRESS      IP:PORT to serve on.
-  --hosts=LIST          HTTP addresses of the domain's hosts, comma separated.
-  --service=NAME        Service that it belongs to.
-  --domain=NAME         Its failure domain.
-  --models=LIST         Models that it serves, comma separated.
-  --slots=N             Sequences at once [default: 16].
-  --kv-tokens=N         KV cache size [default: 200000].
-  --step-ms=X           Base time of a step [default: 8].
-  --step-ms-per-seq=X   Added for each sequence [default: 0.25].
-  --prefill-ms=X        Prefill time per token [default: 0.25].
-  --cache=N             Prefixes in its cache [default: 64].
-  --prefix-tokens=N     Tokens that a cached prefix saves [default: 64].
-  --tokens=N            Tokens of an answer [default: 16].
-  --report-lag-ms=N     Age of the load it reports [default: 300].
-  --announce-ms=N       Time between announcements [default: 400].
-  --event-loss=X        Share of cache events that are lost [default: 0.1].
-  --restart-ms=N        How long it is gone after KILLSERVER [default: 1500].
-  --checks-fencing      Refuse orders with an old fencing number.
-  --seed=N              Seed of its random choices [default: 1].
-  --speed=X             Divides all times [default: 1].
-)";
-
-constexpr size_t kMaxThreads = 512;
 constexpr uint32_t kMaxPromptTokens = 8'000;
 
-std::vector<std::string> SplitList(const std::string& text) {
-  std::vector<std::string> out;
-  size_t start = 0;
-  while (start <= text.size()) {
-    const size_t comma = std::min(text.find(',', start), text.size());
-    if (comma > start) {
-      out.push_back(text.substr(start, comma - start));
-    }
-    start = comma + 1;
-  }
-  return out;
-}
-
-struct Config {
-  std::string id;
-  std::string address;
-  std::string service;
-  std::string domain;
-  std::vector<std::string> hosts;
-  std::vector<std::string> models;
-  EngineOptions engine;
-  uint32_t tokens = 16;
-  sequoialb::milliseconds report_lag{300};
-  sequoialb::milliseconds announce{400};
-  double event_loss = 0.1;
-  sequoialb::milliseconds restart{1500};
-  bool checks_fencing = false;
-  uint64_t seed = 1;
-  double speed = 1;
-};
-
 // What the engine did, for tests.
 struct Tally {
   std::atomic<uint64_t> started{0};
@@ -133,7 +42,7 @@
 
 class Engine {
  public:
-  explicit Engine(const Config& config)
+  explicit Engine(const EngineConfig& config)
       : config_(config), model_(config.engine), random_(config.seed) {
     stepper_ = std::thread([this] { Steps(); });
     announcer_ = std::thread([this] { Announces(); });
@@ -146,7 +55,7 @@
     announcer_.join();
   }
 
-  const Config& config() const { return config_; }
+  const EngineConfig& config() const { return config_; }
   Tally& tally() { return tally_; }
 
   // Adds a sequence; tokens for it arrive by WaitForToken.
@@ -191,7 +100,7 @@
     ++epoch_;
     model_ = EngineModel(config_.engine);
     gone_until_ = Clock::now() + config_.restart;
-    incarnation_ = static_cast<uint64_t>(sequoialb::UnixMs()) + epoch_;
+    incarnation_ = static_cast<uint64_t>(UnixMs()) + epoch_;
     for (const int descriptor : connections_) {
       ::shutdown(descriptor, SHUT_RDWR);
     }
@@ -283,7 +192,7 @@
   }
 
   void Announces() {
-    sequoialb::fakes::Announcer announcer(config_.hosts);
+    Announcer announcer(config_.hosts);
     std::deque<std::pair<TimePoint, std::pair<size_t, size_t>>> loads;
     while (!stopping_) {
       if (!gone()) {
@@ -337,7 +246,7 @@
     return JsonLine(json);
   }
 
-  const Config config_;
+  const EngineConfig config_;
   Tally tally_;
   std::mutex mutex_;
   std::condition_variable changed_;
@@ -349,7 +258,7 @@
   std::set<int> connections_;
   uint64_t next_id_ = 1;
   uint64_t epoch_ = 0;
-  uint64_t incarnation_ = static_cast<uint64_t>(sequoialb::UnixMs());
+  uint64_t incarnation_ = static_cast<uint64_t>(UnixMs());
   size_t most_running_ = 0;
   TimePoint gone_until_;
   std::atomic<bool> leaving_{false};
@@ -426,7 +335,7 @@
   }
 
   void Order(const std::string& body, Poco::Net::HTTPServerResponse& response) {
-    const auto json = sequoialb::JsonDocument::Parse(body, "order");
+    const auto json = JsonDocument::Parse(body, "order");
     if (!json || !json->root["fencing"].isUInt64()) {
       Send(response, 400, R"({"error":"no fencing number"})");
     } else if (engine_.TakeOrder(json->root["fencing"].asUInt64())) {
@@ -438,7 +347,7 @@
 
   void Chat(const std::string& path, const std::string& body,
             Poco::Net::HTTPServerResponse& response) {
-    const auto request = sequoialb::ParseChatRequest(path, body);
+    const auto request = ParseChatRequest(path, body);
     const bool too_long =
         request && (request->prompt.find("TOOLONG") != std::string::npos ||
                     request->prompt_tokens() > kMaxPromptTokens);
@@ -519,80 +428,14 @@
   Engine& engine_;
 };
 
-class Factory : public Poco::Net::HTTPRequestHandlerFactory {
- public:
-  explicit Factory(Engine& engine) : engine_(engine) {}
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-      const Poco::Net::HTTPServerRequest& /*request*/) override {
-    return std::make_unique<Handler>(engine_).release();
-  }
-
- private:
-  Engine& engine_;
-};
-
-Config ReadConfig(const std::map<std::string, docopt::value>& arguments) {
-  const auto text = [&arguments](const char* name) {
-    return arguments.at(name).asString();
-  };
-  const auto number = [&text](const char* name) {
-    return std::stod(text(name));
-  };
-  Config config;
-  config.id = text("--id");
-  config.address = text("--listen");
-  config.service = text("--service");
-  config.domain = text("--domain");
-  config.hosts = SplitList(text("--hosts"));
-  config.models = SplitList(text("--models"));
-  config.engine.slots = static_cast<uint32_t>(number("--slots"));
-  config.engine.kv_tokens = static_cast<uint64_t>(number("--kv-tokens"));
-  config.engine.step_ms = number("--step-ms");
-  config.engine.step_ms_per_sequence = number("--step-ms-per-seq");
-  config.engine.prefill_ms_per_token = number("--prefill-ms");
-  config.engine.cached_prefixes = static_cast<size_t>(number("--cache"));
-  config.engine.prefix_tokens =
-      static_cast<uint32_t>(number("--prefix-tokens"));
-  config.tokens = static_cast<uint32_t>(number("--tokens"));
-  config.report_lag =
-      sequoialb::milliseconds(std::stol(text("--report-lag-ms")));
-  config.announce = sequoialb::milliseconds(std::stol(text("--announce-ms")));
-  config.event_loss = number("--event-loss");
-  config.restart = sequoialb::milliseconds(std::stol(text("--restart-ms")));
-  config.checks_fencing = arguments.at("--checks-fencing").asBool();
-  config.seed = std::stoull(text("--seed"));
-  config.speed = number("--speed");
-  return config;
-}
-
 }  // namespace
 
-int main(int argc, char** argv) {
-  const auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc});
-  sigset_t stop_signals;
-  sigemptyset(&stop_signals);
-  sigaddset(&stop_signals, SIGTERM);
-  sigaddset(&stop_signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &stop_signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  Engine engine(ReadConfig(arguments));
-  Poco::ThreadPool pool(4, kMaxThreads + 4);
-  Poco::Net::ServerSocket socket;
-  try {
-    socket.bind(Poco::Net::SocketAddress(engine.config().address), true);
-    socket.listen(1024);
-  } catch (const Poco::Exception& e) {
-    std::cerr << "fake_engine: " << engine.config().address << ": "
-              << e.displayText() << "\n";
-    return 1;
-  }
-  Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-  params->setMaxThreads(kMaxThreads);
-  params->setMaxQueued(1024);
-  params->setKeepAliveTimeout(Poco::Timespan(30, 0));
-  Poco::Net::HTTPServer server(new Factory(engine), pool, socket, params);
-  server.start();
-  int signal = 0;
-  sigwait(&stop_signals, &signal);
-  std::_Exit(0);
+Status RunEngine(const EngineConfig& config,
+                 const std::function<void()>& wait_for_stop) {
+  Engine engine(config);
+  return ServeStandIn(
+      config.address, [&engine] { return std::make_unique<Handler>(engine); },
+      wait_for_stop);
 }
+
+}  // namespace emulator
--- /dev/null
+++ b/test/scenarios/fleet.cc
@@ -0,0 +1,217 @@
+#include "fleet.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+#include "base/hash.h"
+
+namespace sequoialb::scenario {
+namespace {
+
+// Asks the kernel for a free port on an address.
+int FreePort(const std::string& ip) {
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+  socklen_t size = sizeof(address);
+  const bool bound =
+      ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
+      ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) ==
+          0;
+  ::close(descriptor);
+  if (!bound) {
+    throw std::runtime_error("no free port on " + ip);
+  }
+  return ntohs(address.sin_port);
+}
+
+std::string Quoted(const std::string& text) { return '"' + text + '"'; }
+
+}  // namespace
+
+Fleet::Fleet(std::string programs, std::string folder)
+    : programs_(std::move(programs)), folder_(std::move(folder)) {
+  // Nobody else uses these addresses, so a port picked here stays free.
+  const pid_t pid = ::getpid();
+  network_ = "127." + std::to_string(16 + pid % 200) + "." +
+             std::to_string((pid / 200) % 250) + ".";
+  std::filesystem::create_directories(folder_);
+}
+
+Fleet::~Fleet() {
+  for (auto& [name, process] : processes_) {
+    if (process.pid > 0) {
+      ::kill(process.pid, SIGKILL);
+      ::kill(process.pid, SIGCONT);
+      ::waitpid(process.pid, nullptr, 0);
+    }
+  }
+}
+
+void Fleet::MakeHosts(int hosts, int domains, int replicas,
+                      const std::string& extra_settings, bool curve) {
+  std::string list;
+  std::map<std::string, std::string> secrets;
+  for (int i = 1; i <= hosts; ++i) {
+    const std::string name = "h" + std::to_string(i);
+    const std::string ip = network_ + std::to_string(next_ip_++);
+    Process& host = processes_[name];
+    host.name = name;
+    host.domain = "d" + std::to_string((i - 1) % domains + 1);
+    host.http = ip + ":" + std::to_string(FreePort(ip));
+    host.is_host = true;
+    std::array<char, 41> public_key{};
+    std::array<char, 41> secret_key{};
+    if (curve) {
+      zmq_curve_keypair(public_key.data(), secret_key.data());
+      secrets[name] = folder_ + "/" + name + ".curve";
+      std::ofstream(secrets[name]) << secret_key.data() << "\n";
+    }
+    list +=
+        std::string(i > 1 ? ",\n" : "") + "    {\"host\": " + Quoted(name) +
+        ", \"failure_domain\": " + Quoted(host.domain) +
+        ", \"peer\": " + Quoted(ip + ":" + std::to_string(FreePort(ip))) +
+        ", \"http\": " + Quoted(host.http) +
+        (i <= replicas ? ", \"replica\": true" : "") +
+        (curve ? ", \"curve_public_key\": " + Quoted(public_key.data()) : "") +
+        "}";
+  }
+  for (auto& [name, host] : processes_) {
+    const std::string settings = folder_ + "/" + name + ".json";
+    std::ofstream(settings)
+        << "// Settings of one host of a scenario.\n{\n  \"host\": "
+        << Quoted(name) << ",\n  \"failure_domain\": " << Quoted(host.domain)
+        << ",\n  \"data_folder\": " << Quoted(folder_ + "/" + name + ".data")
+        << ",\n  \"http\": " << Quoted(host.http)
+        << ",\n  \"operator_token_sha256\": " << Quoted(Sha256Hex(token_))
+        << ",\n  \"test_hooks\": true,\n"
+        << (curve ? "  \"curve_secret_key_file\": " + Quoted(secrets[name]) +
+                        ",\n"
+                  : "")
+        << extra_settings << "  \"hosts\": [\n"
+        << list << "\n  ]\n}\n";
+    host.command = {programs_ + "/sequoialbd", "--settings=" + settings};
+    host.log = folder_ + "/" + name + ".log";
+  }
+}
+
+std::string Fleet::DomainHosts(const std::string& domain) const {
+  std::string list;
+  for (const auto& [name, process] : processes_) {
+    if (process.is_host && process.domain == domain) {
+      list += (list.empty() ? "" : ",") + process.http;
+    }
+  }
+  return list;
+}
+
+void Fleet::AddEngine(const std::string& name, const std::string& domain,
+                      const std::string& service, const std::string& models,
+                      const std::vector<std::string>& options) {
+  const std::string ip = network_ + std::to_string(next_ip_++);
+  Process& engine = processes_[name];
+  engine.name = name;
+  engine.domain = domain;
+  engine.http = ip + ":" + std::to_string(FreePort(ip));
+  engine.log = folder_ + "/" + name + ".log";
+  engine.command = {programs_ + "/sequoialb-emulator",
+                    "engine",
+                    "--id=" + name,
+                    "--listen=" + engine.http,
+                    "--hosts=" + DomainHosts(domain),
+                    "--service=" + service,
+                    "--domain=" + domain,
+                    "--models=" + models};
+  engine.command.insert(engine.command.end(), options.begin(), options.end());
+}
+
+void Fleet::AddService(const std::string& name, const std::string& domain,
+                       const std::string& service) {
+  AddEngine(name, domain, service, "", {});
+  Process& process = processes_[name];
+  process.command[1] = "service";
+  process.command.pop_back();
+}
+
+Process& Fleet::At(const std::string& name) {
+  const auto found = processes_.find(name);
+  if (found == processes_.end()) {
+    throw std::runtime_error("no process " + name);
+  }
+  return found->second;
+}
+
+void Fleet::Start(const std::string& name) {
+  Process& process = At(name);
+  const pid_t pid = ::fork();
+  if (pid == 0) {
+    const int log =
+        ::open(process.log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(log, STDOUT_FILENO);
+    ::dup2(log, STDERR_FILENO);
+    std::vector<char*> arguments;
+    for (std::string& argument : process.command) {
+      arguments.push_back(argument.data());
+    }
+    arguments.push_back(nullptr);
+    ::execv(arguments[0], arguments.data());
+    std::_Exit(127);
+  }
+  process.pid = pid;
+}
+
+void Fleet::Kill(const std::string& name) {
+  Process& process = At(name);
+  ::kill(process.pid, SIGKILL);
+  ::waitpid(process.pid, nullptr, 0);
+  process.pid = 0;
+}
+
+int Fleet::Stop(const std::string& name) {
+  Process& process = At(name);
+  ::kill(process.pid, SIGTERM);
+  int status = 0;
+  ::waitpid(process.pid, &status, 0);
+  process.pid = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+void Fleet::Freeze(const std::string& name) { ::kill(At(name).pid, SIGSTOP); }
+void Fleet::Thaw(const std::string& name) { ::kill(At(name).pid, SIGCONT); }
+
+void Fleet::Wipe(const std::string& name) {
+  std::filesystem::remove_all(folder_ + "/" + name + ".data");
+}
+
+std::vector<std::string> Fleet::Hosts(bool running_only) const {
+  std::vector<std::string> names;
+  for (const auto& [name, process] : processes_) {
+    if (process.is_host && (!running_only || process.pid > 0)) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+std::vector<std::string> Fleet::BackendServers() const {
+  std::vector<std::string> names;
+  for (const auto& [name, process] : processes_) {
+    if (!process.is_host && process.pid > 0) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+}  // namespace sequoialb::scenario
--- /dev/null
+++ b/test/scenarios/fleet.h
@@ -0,0 +1,66 @@
+// The processes of one scenario: hosts and stand-ins on loopback addresses of
+// their own, with ports that the kernel picks.
+#pragma once
+
+#include <sys/types.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sequoialb::scenario {
+
+struct Process {
+  std::string name;
+  std::vector<std::string> command;
+  std::string log;
+  std::string http;
+  std::string domain;
+  bool is_host = false;
+  pid_t pid = 0;
+};
+
+class Fleet {
+ public:
+  // `programs` is the folder with the built programs, `folder` a new one for
+  // settings, data and logs.
+  Fleet(std::string programs, std::string folder);
+  ~Fleet();
+
+  // Writes the settings of hosts h1, h2, ... spread over domains d1, d2, ...
+  void MakeHosts(int hosts, int domains, int replicas,
+                 const std::string& extra_settings, bool curve);
+  void AddEngine(const std::string& name, const std::string& domain,
+                 const std::string& service, const std::string& models,
+                 const std::vector<std::string>& options);
+  void AddService(const std::string& name, const std::string& domain,
+                  const std::string& service);
+
+  void Start(const std::string& name);
+  void Kill(const std::string& name);
+  // Sends SIGTERM and returns the exit code.
+  int Stop(const std::string& name);
+  void Freeze(const std::string& name);
+  void Thaw(const std::string& name);
+  // Removes a stopped host's data folder.
+  void Wipe(const std::string& name);
+
+  Process& At(const std::string& name);
+  std::vector<std::string> Hosts(bool running_only = true) const;
+  std::vector<std::string> BackendServers() const;
+  const std::string& folder() const { return folder_; }
+  const std::string& token() const { return token_; }
+
+ private:
+  std::string NewAddress(bool same_ip, int number);
+  std::string DomainHosts(const std::string& domain) const;
+
+  std::string programs_;
+  std::string folder_;
+  std::string network_;
+  std::string token_ = "scenario-operator";
+  int next_ip_ = 1;
+  std::map<std::string, Process> processes_;
+};
+
+}  // namespace sequoialb::scenario
