Let every founder learn its group; keep leaders, dispatchers and owners reachable

Cause, found by the scenarios leader-killed, engine-dies, leader-frozen and graceful-stop, which failed first: - A replica stopped telling the founders as soon as it saw itself formed, so the two others followed the leader as learners without a vote and nobody could succeed it. Ruled out: the election itself (no candidate ever started). - Each unanswered request moved the leader hint on, so many of them made it rotate faster than a leader could answer. - A domain's dispatcher was missed only after 1.3 s, longer than the 1.2 s that a first token may take, and its successor knew no server. - A request whose servers had all failed was passed on to their domain again.

Change: a formed replica announces its founders when it forms and answers whoever asks; one silence moves the hint once; pings every 200 ms and a stand-by that hears announcements; requests carry the domains that failed them; a refused connection opens the breaker at once; leases of 1 s.

--- a/src/consensus/raft_types.h
+++ b/src/consensus/raft_types.h
@@ -14,9 +14,9 @@
 // Timing of the agreement. The election timeout is drawn from the given range
 // for each round, so that two candidates rarely split the votes twice.
 struct RaftOptions {
-  milliseconds heartbeat{100};
-  milliseconds election_least{600};
-  milliseconds election_most{1'200};
+  milliseconds heartbeat{75};
+  milliseconds election_least{500};
+  milliseconds election_most{900};
   // How much earlier than its followers' timeout a leader gives up its lease.
   milliseconds clock_margin{100};
   size_t max_append_bytes = 1U << 20U;
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -182,6 +182,7 @@
   raft_ = std::make_unique<Raft>(node_, RaftOptions{}, persistent, now,
                                  Hash64(node_));
   formation_.reset();
+  SendHelloTo(replica_hosts_);
   LogInfo("group_founded", {{"founders", std::to_string(founders.size())}});
 }
 
@@ -225,6 +226,10 @@
     unformed_nodes_.erase(from);
   }
   if (formation_ == nullptr) {
+    // A replica that has formed answers those that still ask.
+    if (!hello.initialised()) {
+      SendHelloTo({from});
+    }
     return;
   }
   const auto founders = formation_->OnHello(from, hello);
@@ -246,16 +251,14 @@
   }
   if (formation_ != nullptr && formed()) {
     formation_.reset();  // Joined an existing group as a learner.
+    SendHelloTo(replica_hosts_);
   }
-  for (auto entry = unformed_nodes_.begin(); entry != unformed_nodes_.end();) {
-    const bool joined = Contains(raft_->membership().voters(), entry->second) ||
-                        Contains(raft_->membership().learners(), entry->second);
-    entry = joined ? unformed_nodes_.erase(entry) : std::next(entry);
-  }
-  // A formed replica goes on saying so only while others still ask.
-  if (formation_ == nullptr && unformed_nodes_.empty()) {
-    return;
+  if (formation_ != nullptr) {
+    SendHelloTo(replica_hosts_);
   }
+}
+
+void Replica::SendHelloTo(const std::vector<std::string>& hosts) {
   proto::Envelope envelope;
   proto::GroupHello& hello = *envelope.mutable_group_hello();
   hello.set_node(node_);
@@ -263,7 +266,7 @@
   for (const std::string& founder : founders_) {
     hello.add_founders(founder);
   }
-  for (const std::string& host : replica_hosts_) {
+  for (const std::string& host : hosts) {
     if (host != settings_.host) {
       sender_.Send(host, envelope);
     }
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -98,6 +98,7 @@
                         TimePoint now);
 
   void SendHello(TimePoint now);
+  void SendHelloTo(const std::vector<std::string>& hosts);
   void NoteRole(TimePoint now);
   void LeaderDuties(TimePoint now);
   void MaintainView(TimePoint now);
--- a/src/dispatch/backend_table.cc
+++ b/src/dispatch/backend_table.cc
@@ -58,14 +58,14 @@
   }
 }
 
-void BackendTable::OnOutcome(const std::string& backend, bool failed,
-                             uint32_t first_byte_ms, TimePoint now) {
-  BackendState* state = Find(backend);
+void BackendTable::OnOutcome(const proto::SlotRelease& release, TimePoint now) {
+  BackendState* state = Find(release.backend());
   if (state == nullptr) {
     return;
   }
   state->probing = false;
-  if (!failed) {
+  const uint32_t first_byte_ms = release.first_byte_ms();
+  if (!release.failed()) {
     state->failures = 0;
     state->openings = 0;
     if (first_byte_ms > 0) {
@@ -74,7 +74,8 @@
     }
     return;
   }
-  ++state->failures;
+  // A refused connection needs no second opinion.
+  state->failures += release.unreachable() ? options_.failures_to_open : 1;
   if (state->failures < options_.failures_to_open) {
     return;
   }
--- a/src/dispatch/backend_table.h
+++ b/src/dispatch/backend_table.h
@@ -59,8 +59,7 @@
   bool OnAnnounce(const proto::Backend& backend, TimePoint now);
 
   // Counts how an attempt on a server ended, for its breaker.
-  void OnOutcome(const std::string& backend, bool failed,
-                 uint32_t first_byte_ms, TimePoint now);
+  void OnOutcome(const proto::SlotRelease& release, TimePoint now);
 
   // Returns true when the server may be given new work now.
   bool Usable(const BackendState& state, TimePoint now) const;
--- a/src/dispatch/dispatch_service.cc
+++ b/src/dispatch/dispatch_service.cc
@@ -8,17 +8,24 @@
 namespace sequoialb {
 namespace {
 
-constexpr milliseconds kPingInterval{400};
-constexpr milliseconds kHostSilence{1'300};
-constexpr milliseconds kHeldInterval{500};
+constexpr milliseconds kPingInterval{200};
+constexpr milliseconds kHostSilence{700};
+constexpr milliseconds kHeldInterval{300};
 constexpr milliseconds kLoadInterval{250};
-constexpr milliseconds kResend{300};
+constexpr milliseconds kResend{100};
 // The same dispatcher is asked again in case a message was lost.
 constexpr milliseconds kRepeat{1'500};
 constexpr milliseconds kAbandonedCheck{250};
 // A request that outlives the dispatcher's word by this much is given up here.
 constexpr milliseconds kReplyMargin{200};
 
+// The dispatcher of a failure domain and its stand-by.
+constexpr size_t kInformedHosts = 2;
+
+std::string DispatcherKey(const std::string& failure_domain) {
+  return "dispatcher " + failure_domain;
+}
+
 SchedulerOptions OptionsFrom(const Settings& settings) {
   SchedulerOptions options;
   options.dispatch = settings.policies.dispatch;
@@ -68,7 +75,7 @@
 
 std::string DispatchService::DispatcherHost(
     const std::string& failure_domain) const {
-  return RendezvousOwner("dispatcher " + failure_domain,
+  return RendezvousOwner(DispatcherKey(failure_domain),
                          DomainHosts(failure_domain));
 }
 
@@ -89,8 +96,9 @@
   request.set_prompt_tokens(need.prompt_tokens);
   request.set_weight(need.weight);
   request.set_origin(settings_.host);
-  for (const std::string& backend : need.avoid) {
+  for (const auto& [backend, domain] : need.avoid) {
     request.add_avoid(backend);
+    request.add_avoid_domains(domain);
   }
   post_([this, wait] { StartWait(wait); });
   std::unique_lock<std::mutex> lock(mutex_);
@@ -153,7 +161,7 @@
     }
   }
   if (given_up && outcome) {
-    Release(*outcome, false, 0);
+    Release(*outcome, SlotOutcome{});
     return;
   }
   wait->changed.notify_all();
@@ -175,8 +183,9 @@
   const std::shared_ptr<Wait> wait = found->second;
   if (!reply.error_name().empty()) {
     const ErrorCode code = ErrorCodeFromName(reply.error_name());
-    if (code == ErrorCode::kShuttingDown) {
-      wait->asked.clear();  // Its successor is asked as soon as it is known.
+    // Its successor, or another domain, is asked after a short pause.
+    if (code == ErrorCode::kShuttingDown || code == ErrorCode::kNotFound) {
+      wait->asked.clear();
       return;
     }
     waits_.erase(found);
@@ -191,19 +200,20 @@
 }
 
 void DispatchService::Release(const std::shared_ptr<SlotLease>& lease,
-                              bool failed, uint32_t first_byte_ms) {
+                              SlotOutcome outcome) {
   lease->SetInterrupt(nullptr);
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     held_.erase({lease->dispatcher(), lease->slot()});
   }
-  post_([this, lease, failed, first_byte_ms] {
+  post_([this, lease, outcome] {
     proto::Envelope envelope;
     proto::SlotRelease& release = *envelope.mutable_slot_release();
     release.set_slot(lease->slot());
     release.set_backend(lease->backend().id());
-    release.set_failed(failed);
-    release.set_first_byte_ms(first_byte_ms);
+    release.set_failed(outcome.failed);
+    release.set_unreachable(outcome.unreachable);
+    release.set_first_byte_ms(outcome.first_byte_ms);
     sender_.Send(lease->dispatcher(), std::move(envelope));
   });
 }
@@ -225,13 +235,17 @@
 
 void DispatchService::Announce(proto::Backend backend) {
   post_([this, backend = std::move(backend)] {
-    const std::string dispatcher = DispatcherHost(backend.failure_domain());
-    if (dispatcher.empty()) {
-      return;
+    // The host that would dispatch next hears it too, so that it knows the
+    // servers the moment it has to.
+    const std::vector<std::string> hosts =
+        DomainHosts(backend.failure_domain());
+    const std::vector<size_t> order =
+        RendezvousOrder(DispatcherKey(backend.failure_domain()), hosts);
+    for (size_t i = 0; i < std::min(order.size(), kInformedHosts); ++i) {
+      proto::Envelope envelope;
+      *envelope.mutable_backend() = backend;
+      sender_.Send(hosts[order[i]], std::move(envelope));
     }
-    proto::Envelope envelope;
-    *envelope.mutable_backend() = backend;
-    sender_.Send(dispatcher, std::move(envelope));
   });
 }
 
--- a/src/dispatch/dispatch_service.h
+++ b/src/dispatch/dispatch_service.h
@@ -37,7 +37,16 @@
   uint64_t prefix_hash = 0;
   uint32_t prompt_tokens = 0;
   double weight = 1;
-  std::vector<std::string> avoid;
+  // Servers that failed this request already, with their failure domains.
+  std::vector<std::pair<std::string, std::string>> avoid;
+};
+
+// How a request on a slot ended, as the dispatcher should know.
+struct SlotOutcome {
+  bool failed = false;
+  // No connection could be made.
+  bool unreachable = false;
+  uint32_t first_byte_ms = 0;
 };
 
 class DispatchService {
@@ -52,8 +61,7 @@
   Result<std::shared_ptr<SlotLease>> Acquire(
       const SlotNeed& need, TimePoint deadline,
       const std::function<bool()>& abandoned = nullptr);
-  void Release(const std::shared_ptr<SlotLease>& lease, bool failed,
-               uint32_t first_byte_ms);
+  void Release(const std::shared_ptr<SlotLease>& lease, SlotOutcome outcome);
 
   // Takes a backend server's announcement, from the HTTP side.
   void Announce(proto::Backend backend);
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -110,6 +110,12 @@
   if (TryForward(ask, now)) {
     return;
   }
+  if (ask.request.hops() > 0 && !AnyServes(ask.request, now)) {
+    // Passed on to a domain whose last server has gone since.
+    Refuse(ask, ErrorCode::kNotFound, "no server of this domain can take it",
+           0);
+    return;
+  }
   if (!ask.request.batch() && CannotMeetDeadline(pool, ask, now, wait_ms)) {
     Refuse(ask, ErrorCode::kOverloaded,
            "the queue is too long for the request's deadline; nothing was run",
@@ -133,6 +139,16 @@
   PumpPool(pool, now);
 }
 
+bool Scheduler::AnyServes(const proto::SlotRequest& request,
+                          TimePoint now) const {
+  return std::any_of(backends_.all().begin(), backends_.all().end(),
+                     [&](const auto& entry) {
+                       return Serves(entry.second, request) &&
+                              !IsAvoided(request, entry.first) &&
+                              backends_.Usable(entry.second, now);
+                     });
+}
+
 uint32_t Scheduler::PoolSlots(const proto::SlotRequest& request,
                               TimePoint now) const {
   uint32_t slots = 0;
@@ -238,8 +254,11 @@
   RemoteLoad* best = nullptr;
   const std::string* best_domain = nullptr;
   for (auto& [key, load] : remote_) {
-    const bool valid =
-        key.second == pool && now < load.heard_at + options_.remote_valid;
+    const auto& tried = ask.request.avoid_domains();
+    const auto failed_there = static_cast<uint32_t>(
+        std::count(tried.begin(), tried.end(), key.first));
+    const bool valid = key.second == pool && failed_there < load.servers &&
+                       now < load.heard_at + options_.remote_valid;
     // Batch leaves other domains the headroom that it leaves its own.
     const uint32_t kept = ask.request.batch() ? load.slots / 4 : 0;
     if (valid && load.free_slots > kept &&
@@ -359,8 +378,7 @@
 }
 
 void Scheduler::OnRelease(const proto::SlotRelease& release, TimePoint now) {
-  backends_.OnOutcome(release.backend(), release.failed(),
-                      release.first_byte_ms(), now);
+  backends_.OnOutcome(release, now);
   const auto slot = slots_.find(release.slot());
   if (slot == slots_.end()) {
     return;
@@ -438,8 +456,8 @@
   for (const auto& service : load.services()) {
     const std::string model = service.models().empty() ? "" : service.models(0);
     const std::string pool = service.service() + '\n' + model;
-    remote_[{load.failure_domain(), pool}] =
-        RemoteLoad{service.free_slots(), service.slots(), now};
+    remote_[{load.failure_domain(), pool}] = RemoteLoad{
+        service.free_slots(), service.slots(), service.servers(), now};
   }
 }
 
@@ -554,6 +572,7 @@
         load.add_models(model);
       }
       const uint32_t slots = state.info.slots();
+      load.set_servers(load.servers() + 1);
       load.set_slots(load.slots() + slots);
       load.set_free_slots(load.free_slots() +
                           (slots > state.load() ? slots - state.load() : 0));
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -70,6 +70,7 @@
 struct RemoteLoad {
   uint32_t free_slots = 0;
   uint32_t slots = 0;
+  uint32_t servers = 0;
   TimePoint heard_at;
 };
 
@@ -167,6 +168,7 @@
   static std::pair<std::string, uint64_t> AskId(const SlotAsk& ask) {
     return {ask.request.origin(), ask.request.request_id()};
   }
+  bool AnyServes(const proto::SlotRequest& request, TimePoint now) const;
   uint32_t PoolSlots(const proto::SlotRequest& request, TimePoint now) const;
 
   SchedulerOptions options_;
--- a/src/emulator/engine_server.cc
+++ b/src/emulator/engine_server.cc
@@ -438,4 +438,4 @@
       wait_for_stop);
 }
 
-}  // namespace emulator
+}  // namespace sequoialb::emulator
--- a/src/entry/plain_handler.cc
+++ b/src/entry/plain_handler.cc
@@ -30,7 +30,7 @@
 
   Result<AttemptResult> Run(const PlainCall& call,
                             const BackendClient::BeforeSend& before_send) {
-    std::vector<std::string> avoid;
+    std::vector<std::pair<std::string, std::string>> avoid;
     uint32_t failures = 0;
     while (true) {
       SlotNeed need;
@@ -49,11 +49,14 @@
           *lease, call.attempt, nullptr, before_send);
       const bool failed = result.end == AttemptEnd::kBroken ||
                           result.end == AttemptEnd::kNotSent;
-      host_.dispatch().Release(*lease, failed, result.first_byte_ms);
+      host_.dispatch().Release(
+          *lease,
+          {failed, result.end == AttemptEnd::kNotSent, result.first_byte_ms});
       if (!failed && result.end != AttemptEnd::kRevoked) {
         return result;
       }
-      avoid.push_back((*lease)->backend().id());
+      avoid.emplace_back((*lease)->backend().id(),
+                         (*lease)->backend().failure_domain());
       failures += result.end == AttemptEnd::kNotSent ? 0 : 1;
       const bool may_repeat =
           result.end == AttemptEnd::kNotSent || call.idempotent;
--- a/src/membership/session_client.cc
+++ b/src/membership/session_client.cc
@@ -35,7 +35,7 @@
     return;
   }
   if (now > last_answer_ + kUnansweredHeartbeats * options_.heartbeat) {
-    leader_.TryNextReplica();
+    leader_.OnSilence(now);
   }
   next_heartbeat_ = now + options_.heartbeat;
   SendHeartbeat(now, missing);
@@ -54,11 +54,11 @@
       leader_.SetLeader(reply.leader());
       next_heartbeat_ = now;
     } else if (from == leader_.leader()) {
-      leader_.TryNextReplica();
+      leader_.OnSilence(now);
     }
     return;
   }
-  leader_.SetLeader(from);
+  leader_.OnLeaderHeard(from, now);
   if (reply.has_config()) {
     const uint64_t epoch_before = config_.current()->view.epoch();
     config_.Apply(reply.config());
--- a/src/membership/session_table.h
+++ b/src/membership/session_table.h
@@ -19,10 +19,10 @@
 namespace sequoialb {
 
 struct SessionOptions {
-  milliseconds heartbeat{300};
-  milliseconds lease{1'500};
+  milliseconds heartbeat{250};
+  milliseconds lease{1'000};
   // What the leader adds to a lease for clocks that run at different rates.
-  milliseconds margin{150};
+  milliseconds margin{100};
 };
 
 class SessionTable {
--- a/src/peer/leader_client.cc
+++ b/src/peer/leader_client.cc
@@ -7,6 +7,8 @@
 
 constexpr milliseconds kResend{250};
 constexpr milliseconds kRedirectPause{20};
+// How long the leader may be silent before another replica is asked.
+constexpr milliseconds kSilence{150};
 
 }  // namespace
 
@@ -14,7 +16,7 @@
                            std::vector<std::string> replicas, uint64_t seed)
     : sender_(sender), replicas_(std::move(replicas)) {
   next_replica_ = replicas_.empty() ? 0 : seed % replicas_.size();
-  TryNextReplica();
+  OnSilence(TimePoint() + kSilence);
 }
 
 void LeaderClient::SetLeader(const std::string& host) {
@@ -25,10 +27,17 @@
   }
 }
 
-void LeaderClient::TryNextReplica() {
-  if (!replicas_.empty()) {
-    leader_ = replicas_[next_replica_++ % replicas_.size()];
+void LeaderClient::OnLeaderHeard(const std::string& host, TimePoint now) {
+  SetLeader(host);
+  settled_at_ = now;
+}
+
+void LeaderClient::OnSilence(TimePoint now) {
+  if (replicas_.empty() || now < settled_at_ + kSilence) {
+    return;
   }
+  settled_at_ = now;
+  leader_ = replicas_[next_replica_++ % replicas_.size()];
 }
 
 void LeaderClient::Propose(proto::Command command, TimePoint deadline,
@@ -75,7 +84,7 @@
   if (!leader.empty()) {
     SetLeader(leader);
   } else if (from == leader_) {
-    TryNextReplica();
+    OnSilence(now);
   }
   found->second.resend_at = now + kRedirectPause;
   found->second.unanswered = false;
@@ -92,6 +101,7 @@
   if (found == pending_.end() || !found->second.on_command) {
     return;
   }
+  OnLeaderHeard(from, now);
   const CommandCallback callback = std::move(found->second.on_command);
   pending_.erase(found);
   callback(reply.result());
@@ -107,6 +117,7 @@
   if (found == pending_.end() || !found->second.on_query) {
     return;
   }
+  OnLeaderHeard(from, now);
   const QueryCallback callback = std::move(found->second.on_query);
   pending_.erase(found);
   callback(reply);
@@ -114,7 +125,6 @@
 
 void LeaderClient::Tick(TimePoint now) {
   std::vector<Pending> expired;
-  bool unanswered = false;
   for (auto entry = pending_.begin(); entry != pending_.end();) {
     Pending& pending = entry->second;
     if (now >= pending.deadline) {
@@ -123,11 +133,8 @@
       continue;
     }
     if (now >= pending.resend_at) {
-      // An unanswered request may mean that the leader is gone; one step per
-      // tick is enough for all requests.
-      if (pending.unanswered && !unanswered) {
-        unanswered = true;
-        TryNextReplica();
+      if (pending.unanswered) {
+        OnSilence(now);
       }
       SendNow(pending, now);
     }
--- a/src/peer/leader_client.h
+++ b/src/peer/leader_client.h
@@ -41,10 +41,13 @@
 
   // Where the leader is believed to be.
   const std::string& leader() const { return leader_; }
-  // Takes word of where the leader is; empty means "not known".
+  // Takes word of where the leader is, from another host.
   void SetLeader(const std::string& host);
-  // Tries the next replica, after one that did not answer.
-  void TryNextReplica();
+  // Takes a sign of life of the leader itself.
+  void OnLeaderHeard(const std::string& host, TimePoint now);
+  // Goes on to the next replica when the one asked stays silent. Many requests
+  // may find out at once; only the first of them in a while moves on.
+  void OnSilence(TimePoint now);
 
  private:
   struct Pending {
@@ -66,6 +69,8 @@
   std::vector<std::string> replicas_;
   size_t next_replica_ = 0;
   std::string leader_;
+  // When the leader last gave a sign of life, or was last exchanged.
+  TimePoint settled_at_;
   uint64_t next_id_ = 1;
   std::map<uint64_t, Pending> pending_;
 };
--- a/src/rates/rate_owner.h
+++ b/src/rates/rate_owner.h
@@ -29,9 +29,9 @@
 
 struct RateOptions {
   // A lent token is valid this long, counted from the borrower's request.
-  milliseconds loan{400};
+  milliseconds loan{300};
   // The owner counts a loan this much longer than the borrower may use it.
-  milliseconds loan_margin{100};
+  milliseconds loan_margin{50};
   // How long a request may wait for recalled tokens.
   milliseconds recall_wait{60};
 };
--- a/src/rates/rate_service.cc
+++ b/src/rates/rate_service.cc
@@ -4,7 +4,7 @@
 namespace {
 
 // A request waits at the most this long while its account changes owners.
-constexpr milliseconds kOwnerPatience{3'000};
+constexpr milliseconds kOwnerPatience{4'500};
 
 }  // namespace
 
--- a/src/requests/chat_runner.cc
+++ b/src/requests/chat_runner.cc
@@ -125,9 +125,9 @@
 
 // Decides whether a failed attempt is followed by another.
 Status ChatRunner::AfterFailure(const ChatRun& run, const AttemptResult& result,
-                                const std::string& backend,
+                                const proto::Backend& backend,
                                 Progress& progress) {
-  progress.avoid.push_back(backend);
+  progress.avoid.emplace_back(backend.id(), backend.failure_domain());
   if (progress.avoid.size() > kMaxAvoided) {
     progress.avoid.erase(progress.avoid.begin());
   }
@@ -150,7 +150,7 @@
                 "the deadline passed while retrying", run_state);
   }
   if (!run.batch &&
-      !budget_.Spend("account " + run.account, "backend " + backend)) {
+      !budget_.Spend("account " + run.account, "backend " + backend.id())) {
     return Fail(
         ErrorCode::kBackendFailed,
         "a backend server failed and the retry budget is spent; last: " +
@@ -158,7 +158,7 @@
         run_state);
   }
   host_.metrics().counter("sequoialb_retries_total").Add();
-  LogDebug("retry", {{"backend", backend}, {"reason", result.detail}});
+  LogDebug("retry", {{"backend", backend.id()}, {"reason", result.detail}});
   PauseBeforeRetry(progress.failures);
   return {};
 }
@@ -174,16 +174,17 @@
       error.run = progress.ran ? RunState::kRan : RunState::kNotRun;
       return tl::unexpected<Error>(error);
     }
-    const std::string backend = (*lease)->backend().id();
-    wait_span.Set("backend", backend);
-    budget_.Earn("backend " + backend);
+    const proto::Backend& backend = (*lease)->backend();
+    wait_span.Set("backend", backend.id());
+    budget_.Earn("backend " + backend.id());
     const AttemptResult result = Attempt(run, *lease, progress);
     const bool failed = result.end == AttemptEnd::kBroken ||
                         result.end == AttemptEnd::kNotSent ||
                         result.end == AttemptEnd::kServerError;
     const bool cancelled = run.cancelled && run.cancelled();
-    host_.dispatch().Release(*lease, failed && !cancelled,
-                             result.first_byte_ms);
+    host_.dispatch().Release(
+        *lease, {failed && !cancelled, result.end == AttemptEnd::kNotSent,
+                 result.first_byte_ms});
     progress.ran = progress.ran || result.end != AttemptEnd::kNotSent;
     if (cancelled && result.end != AttemptEnd::kComplete) {
       return Fail(ErrorCode::kCancelled, "the request was cancelled",
--- a/src/requests/chat_runner.h
+++ b/src/requests/chat_runner.h
@@ -60,7 +60,7 @@
   struct Progress {
     StreamSplicer splicer;
     std::string finish_reason;
-    std::vector<std::string> avoid;
+    std::vector<std::pair<std::string, std::string>> avoid;
     uint32_t failures = 0;
     bool ran = false;
     bool solo = false;
@@ -75,7 +75,7 @@
   bool TakeBytes(const ChatRun& run, SseParser& parser, uint64_t& counted,
                  Progress& progress, std::string_view bytes, bool& broken);
   Status AfterFailure(const ChatRun& run, const AttemptResult& result,
-                      const std::string& backend, Progress& progress);
+                      const proto::Backend& backend, Progress& progress);
 
   Host& host_;
   BackendClient client_;
--- a/test/scenarios/fleet.h
+++ b/test/scenarios/fleet.h
@@ -42,6 +42,7 @@
   int Stop(const std::string& name);
   void Freeze(const std::string& name);
   void Thaw(const std::string& name);
+  void EndAll();
   // Removes a stopped host's data folder.
   void Wipe(const std::string& name);
 
