Add the load and experiment tool; measure rates, dispatch and their baselines

Cause: the policies were built by argument; the users weigh tail latency, the worst account and wrongful refusals, so each needs its figure beside its plain baseline.

--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -1,5 +1,6 @@
 sequoialb_program(sequoialbd programs/sequoialbd.cc)
 sequoialb_program(sequoialb-emulator programs/sequoialb-emulator.cc)
+sequoialb_program(sequoialb-load programs/sequoialb-load.cc)
 sequoialb_program(sequoialb programs/sequoialb.cc)
 
 add_executable(scenario_runner test/scenarios/runner.cc test/scenarios/fleet.cc)
--- a/test/scenarios/fleet.cc
+++ b/test/scenarios/fleet.cc
@@ -181,15 +181,29 @@
   process.pid = 0;
 }
 
-int Fleet::Stop(const std::string& name) {
+void Fleet::AddTool(const std::string& name, const std::string& program,
+                    const std::vector<std::string>& options) {
+  Process& tool = processes_[name];
+  tool.name = name;
+  tool.log = folder_ + "/" + name + ".log";
+  tool.command = {programs_ + "/" + program};
+  tool.command.insert(tool.command.end(), options.begin(), options.end());
+}
+
+int Fleet::Wait(const std::string& name) {
   Process& process = At(name);
-  ::kill(process.pid, SIGTERM);
   int status = 0;
   ::waitpid(process.pid, &status, 0);
   process.pid = 0;
   return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
+int Fleet::Stop(const std::string& name) {
+  Process& process = At(name);
+  ::kill(process.pid, SIGTERM);
+  return Wait(name);
+}
+
 void Fleet::Freeze(const std::string& name) { ::kill(At(name).pid, SIGSTOP); }
 void Fleet::Thaw(const std::string& name) { ::kill(At(name).pid, SIGCONT); }
 
@@ -210,7 +224,7 @@
 std::vector<std::string> Fleet::BackendServers() const {
   std::vector<std::string> names;
   for (const auto& [name, process] : processes_) {
-    if (!process.is_host && process.pid > 0) {
+    if (!process.is_host && !process.http.empty() && process.pid > 0) {
       names.push_back(name);
     }
   }
--- a/test/scenarios/fleet.h
+++ b/test/scenarios/fleet.h
@@ -36,7 +36,13 @@
   void AddService(const std::string& name, const std::string& domain,
                   const std::string& service);
 
+  // Adds a program that runs to its end.
+  void AddTool(const std::string& name, const std::string& program,
+               const std::vector<std::string>& options);
+
   void Start(const std::string& name);
+  // Waits for a tool's end and returns its exit code.
+  int Wait(const std::string& name);
   void Kill(const std::string& name);
   // Sends SIGTERM and returns the exit code.
   int Stop(const std::string& name);
--- a/test/scenarios/runner.cc
+++ b/test/scenarios/runner.cc
@@ -21,8 +21,12 @@
 //   load K rate=R seconds=S as=L [idem]     ask in the background, at all hosts
 //   load-join L [refused=any]               no answer may be wrong or lost
 //   tally FIELD = N | <= N | >= N           sum over running backend servers
+//   measure --OPTION... | measure& ... measure-join   run sequoialb-load
+//   usage NAME seconds=N                    print the hosts' resource use
 //   pause SECONDS | print TEXT
 //
+// Words in 'single quotes' are taken as they are.
+//
 // Options of every call: at=HOST (also at=leader, at=follower), expect=CODE
 // (ok by default), run=not_run|ran|unknown. A host name may be "leader".
 // The first line that fails ends the scenario with its number.
@@ -36,6 +40,7 @@
 #include <fstream>
 #include <future>
 #include <iostream>
+#include <iterator>
 #include <set>
 #include <sstream>
 #include <stdexcept>
@@ -97,8 +102,11 @@
     was_quoted = false;
   };
   bool escaped = false;
+  bool raw = false;
   for (const char c : text) {
-    if (escaped) {
+    if (c == '\'' && !quoted && !escaped) {
+      raw = !raw;
+    } else if (raw || escaped) {
       word.push_back(c);
       escaped = false;
     } else if (c == '\\') {
@@ -211,7 +219,11 @@
         {"unready", &Runner::Unready},
         {"trace", &Runner::Trace},
         {"note-leader", &Runner::NoteLeader},
-        {"raw", &Runner::Raw}};
+        {"raw", &Runner::Raw},
+        {"measure", &Runner::Measure},
+        {"measure&", &Runner::Measure},
+        {"measure-join", &Runner::MeasureJoin},
+        {"usage", &Runner::Usage}};
     const auto found = kVerbs.find(verb);
     if (found == kVerbs.end()) {
       Failed("unknown verb " + verb);
@@ -993,6 +1005,102 @@
     }
   }
 
+  // Runs the load tool with all hosts and keys; its options follow the verb.
+  void Measure(const Line& line) {
+    std::string servers;
+    for (const std::string& host : fleet_.Hosts()) {
+      servers += (servers.empty() ? "" : ",") + fleet_.At(host).http;
+    }
+    std::string keys;
+    for (const auto& [account, key] : keys_) {
+      keys += (keys.empty() ? "" : ",") + account + "=" + key;
+    }
+    std::vector<std::string> options(line.words.begin() + 1, line.words.end());
+    options.push_back("--servers=" + servers);
+    options.push_back("--keys=" + keys);
+    const std::string name = "load-" + std::to_string(measures_.size());
+    measures_.push_back(name);
+    fleet_.AddTool(name, "sequoialb-load", options);
+    fleet_.Start(name);
+    if (line.words[0] == "measure") {
+      MeasureJoin(line);
+    }
+  }
+
+  void MeasureJoin(const Line& /*line*/) {
+    const std::string& name = measures_.back();
+    if (fleet_.Wait(name) != 0) {
+      Failed("the load tool failed: " + *ReadFile(fleet_.At(name).log));
+    }
+    std::cout << *ReadFile(fleet_.At(name).log) << std::flush;
+  }
+
+  // Prints each host's processor time, memory and traffic over a span.
+  void Usage(const Line& line) {
+    const double span_s = std::stod(line.Option("seconds", "5"));
+    std::map<std::string, HostUsage> before;
+    for (const std::string& host : fleet_.Hosts()) {
+      before[host] = UsageOf(host);
+    }
+    std::this_thread::sleep_for(FromSeconds(span_s));
+    double cpu = 0;
+    double memory = 0;
+    double bytes = 0;
+    double most_cpu = 0;
+    double most_bytes = 0;
+    for (const std::string& host : fleet_.Hosts()) {
+      const HostUsage now = UsageOf(host);
+      const double host_cpu = (now.cpu_s - before[host].cpu_s) / span_s;
+      const double host_bytes =
+          (now.sent_bytes - before[host].sent_bytes) / span_s;
+      cpu += host_cpu;
+      memory += now.memory_mb;
+      bytes += host_bytes;
+      most_cpu = std::max(most_cpu, host_cpu);
+      most_bytes = std::max(most_bytes, host_bytes);
+    }
+    const auto hosts = static_cast<double>(fleet_.Hosts().size());
+    std::cout << line.Word(1) << ": " << hosts << " hosts; a host: cpu "
+              << 100 * cpu / hosts << "% (most " << 100 * most_cpu
+              << "%), memory " << memory / hosts << " MB, sent "
+              << bytes / hosts / 1000 << " KB/s (most " << most_bytes / 1000
+              << ")" << std::endl;
+  }
+
+  struct HostUsage {
+    double cpu_s = 0;
+    double memory_mb = 0;
+    double sent_bytes = 0;
+  };
+
+  HostUsage UsageOf(const std::string& host) {
+    HostUsage usage;
+    const std::string proc = "/proc/" + std::to_string(fleet_.At(host).pid);
+    std::ifstream stat(proc + "/stat");
+    std::string text((std::istreambuf_iterator<char>(stat)), {});
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::vector<std::string> values{std::istream_iterator<std::string>(fields),
+                                    {}};
+    constexpr size_t kUserTime = 11;
+    constexpr size_t kResidentPages = 21;
+    usage.cpu_s =
+        (std::stod(values[kUserTime]) + std::stod(values[kUserTime + 1])) /
+        static_cast<double>(sysconf(_SC_CLK_TCK));
+    usage.memory_mb = std::stod(values[kResidentPages]) *
+                      static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+    HttpCall call;
+    call.server = fleet_.At(host).http;
+    call.path = "/metrics";
+    call.deadline = Clock::now() + seconds(5);
+    const auto answer = CallHttp(call);
+    const std::string name = "\nsequoialb_peer_sent_bytes_total ";
+    const size_t at = answer ? answer->body.find(name) : std::string::npos;
+    if (at != std::string::npos) {
+      usage.sent_bytes = std::stod(answer->body.substr(at + name.size()));
+    }
+    return usage;
+  }
+
   void Pause(const Line& line) {
     std::this_thread::sleep_for(FromSeconds(std::stod(line.Word(1))));
   }
@@ -1021,6 +1129,7 @@
   std::map<std::string, std::future<AskResult>> pending_;
   std::map<std::string, std::future<Result<int>>> plain_;
   std::map<std::string, std::future<int>> stops_;
+  std::vector<std::string> measures_;
   std::map<std::string, Batch> batches_;
   std::map<std::string, std::shared_ptr<LoadResult>> loads_;
   std::map<std::string, std::set<std::string>> cuts_;
