Route by the expected first token; serve keyed work in cut-off domains

Ruled out: wrong cache events (hits were as announced). - An idle host used 4% of a core: the control loop's wait was rounded down, so it spun through the last millisecond before each tick. - A body over the limit was refused over unread bytes; the reset took the refusal with it (bad-input failed with no status, now 413). - A cut-off domain served no keyed question whatever its team allowed: the record and the rate both need the majority. - Every running batch was sent to its owner again every 2 s, bitmap and all.

Change: the policy expected_first_token (backlog of prefills plus own, with the times learned from idle servers), now the default; waits rounded up; refused bodies are drained up to a bound; cut_off_reserve, a part of each rate that every host holds by itself, and recording on return.

--- a/programs/sequoialb-load.cc
+++ b/programs/sequoialb-load.cc
@@ -413,6 +413,7 @@
     json["first_token_p50_ms"] = Quantile(first, 0.5);
     json["first_token_p95_ms"] = Quantile(first, 0.95);
     json["first_token_p99_ms"] = Quantile(first, 0.99);
+    json["first_token_max_ms"] = Quantile(first, 1);
     json["worst_gap_p95_ms"] = Quantile(gaps, 0.95);
     json["total_p99_ms"] = Quantile(total, 0.99);
     return json;
@@ -604,13 +605,14 @@
             << figures["first_token_p50_ms"].asDouble() << std::setw(10)
             << figures["first_token_p95_ms"].asDouble() << std::setw(10)
             << figures["first_token_p99_ms"].asDouble() << std::setw(10)
+            << figures["first_token_max_ms"].asDouble() << std::setw(10)
             << figures["worst_gap_p95_ms"].asDouble() << "\n";
 }
 
 void PrintReport(const Json::Value& report) {
   std::cout << "                      asked  whole refused  lost wrong   p50 "
                "ms    p95 ms"
-               "    p99 ms  gap95 ms\n";
+               "    p99 ms    max ms  gap95 ms\n";
   PrintRow("all", report["all"]);
   if (report.isMember("burst")) {
     PrintRow("burst", report["burst"]);
--- a/src/config/config_view.cc
+++ b/src/config/config_view.cc
@@ -60,8 +60,9 @@
   for (const auto& [name, service] : services) {
     const AccountTerms* terms = service->document.FindAccount(account);
     if (terms != nullptr) {
-      sum.rate += terms->rate;
-      sum.burst += terms->burst;
+      const double share = 1 - service->document.cut_off_reserve;
+      sum.rate += terms->rate * share;
+      sum.burst += terms->burst * share;
     }
   }
   if (sum.rate <= 0) {
@@ -70,6 +71,18 @@
   return sum;
 }
 
+BucketTerms ConfigView::ReserveOf(const std::string& account) const {
+  BucketTerms sum;
+  for (const auto& [name, service] : services) {
+    const AccountTerms* terms = service->document.FindAccount(account);
+    if (terms != nullptr) {
+      sum.rate += terms->rate * service->document.cut_off_reserve;
+      sum.burst += terms->burst * service->document.cut_off_reserve;
+    }
+  }
+  return sum;
+}
+
 void ConfigHolder::Apply(const proto::ConfigState& changes) {
   const ConfigPointer before = current();
   if (changes.index() <= before->index) {
--- a/src/config/config_view.h
+++ b/src/config/config_view.h
@@ -49,8 +49,13 @@
   // Returns the service with the longest matching route, or nullptr.
   const ServiceInForce* FindForPath(const std::string& path) const;
 
-  // Returns the account's rate over all services: the sum of its terms.
+  // Returns the account's rate over all services, less what hosts hold in
+  // reserve; nothing when no service names it.
   std::optional<BucketTerms> TermsOf(const std::string& account) const;
+
+  // Returns the part of the account's rate that all hosts together hold in
+  // reserve for being cut off.
+  BucketTerms ReserveOf(const std::string& account) const;
 };
 
 using ConfigPointer = std::shared_ptr<const ConfigView>;
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -673,7 +673,12 @@
   }
   for (const auto& [owner, ids] : ledger_.lots().running()) {
     for (const std::string& id : ids) {
-      SendAssignment("", id);
+      // An owner that lost the answer to its own job's creation does not know
+      // the job; one that has made progress does.
+      const LotTable::Lot lot = ledger_.lots().FindLot(id);
+      if (lot->generation() > 1 || lot->done() == 0) {
+        SendAssignment("", id);
+      }
     }
   }
 }
--- a/src/dispatch/backend_table.cc
+++ b/src/dispatch/backend_table.cc
@@ -33,6 +33,11 @@
   }
   state.info = backend;
   state.heard_at = now;
+  for (auto given = state.given_prefixes.begin();
+       given != state.given_prefixes.end();) {
+    const bool old = now >= given->second + options_.prefix_grace;
+    given = old ? state.given_prefixes.erase(given) : std::next(given);
+  }
   state.prefixes = {backend.cached_prefixes().begin(),
                     backend.cached_prefixes().end()};
   CorrectLoad(state);
@@ -97,6 +102,16 @@
   return !half_open || !state.probing;
 }
 
+bool BackendTable::HoldsPrefix(const BackendState& state, uint64_t prefix,
+                               TimePoint now) const {
+  if (state.prefixes.count(prefix) > 0) {
+    return true;
+  }
+  const auto given = state.given_prefixes.find(prefix);
+  return given != state.given_prefixes.end() &&
+         now < given->second + options_.prefix_grace;
+}
+
 void BackendTable::Forget(TimePoint now) {
   for (auto entry = backends_.begin(); entry != backends_.end();) {
     const bool gone = now >= entry->second.heard_at + options_.forget &&
--- a/src/dispatch/backend_table.h
+++ b/src/dispatch/backend_table.h
@@ -19,6 +19,8 @@
 struct BackendOptions {
   // A server that has been silent this long gets no new work.
   milliseconds silence{1'500};
+  // A request's prefix counts as cached this long before events must name it.
+  milliseconds prefix_grace{1'000};
   // A silent server is forgotten after this long.
   milliseconds forget{30'000};
   // Failures in a row after which a server is left alone for a while.
@@ -40,7 +42,12 @@
   uint32_t foreign = 0;
   uint32_t foreign_candidate = 0;
   uint32_t foreign_reports = 0;
+  // Prefixes that its cache events name, and those of requests given to it
+  // since, which events do not name yet.
   std::unordered_set<uint64_t> prefixes;
+  std::map<uint64_t, TimePoint> given_prefixes;
+  // When the prefills that it was given will be done.
+  TimePoint prefill_clear_at;
   uint32_t failures = 0;
   uint32_t openings = 0;
   TimePoint open_until;
@@ -64,6 +71,10 @@
   // Returns true when the server may be given new work now.
   bool Usable(const BackendState& state, TimePoint now) const;
 
+  // Returns true when the server's cache probably holds a prefix.
+  bool HoldsPrefix(const BackendState& state, uint64_t prefix,
+                   TimePoint now) const;
+
   void Forget(TimePoint now);
 
   BackendState* Find(const std::string& backend);
--- a/src/dispatch/scheduler.cc
+++ b/src/dispatch/scheduler.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr double kHoldSmoothing = 0.05;
+constexpr double kFirstTokenSmoothing = 0.1;
+// Before anything is learned.
+constexpr double kFirstHitMs = 20;
+constexpr double kFirstMissMs = 50;
 constexpr int64_t kMinRetryAfterMs = 50;
 // An answer this many times slower than the quickest server's costs a request.
 constexpr double kSlowFactor = 3.0;
@@ -52,6 +56,8 @@
 Scheduler::Scheduler(SchedulerOptions options, uint64_t first_slot)
     : options_(options), backends_(options_.backends), next_slot_(first_slot) {
   routing_.random.seed(options_.seed);
+  routing_.hit_ms = kFirstHitMs;
+  routing_.miss_ms = kFirstMissMs;
 }
 
 std::string Scheduler::PoolName(const proto::SlotRequest& request) {
@@ -192,7 +198,9 @@
     candidate.reported = state.info.running() + state.info.waiting();
     candidate.has_room = HasRoom(state, ask.request, now);
     candidate.holds_prefix =
-        state.prefixes.count(ask.request.prefix_hash()) > 0;
+        backends_.HoldsPrefix(state, ask.request.prefix_hash(), now);
+    candidate.backlog_ms =
+        static_cast<double>(RemainingMs(state.prefill_clear_at, now));
     states.push_back(&state);
     if (state.first_byte_ms > 0 &&
         (quickest_ms == 0 || state.first_byte_ms < quickest_ms)) {
@@ -209,11 +217,12 @@
     return false;
   }
   stats_.prefix_hits += candidates[*chosen].holds_prefix ? 1 : 0;
-  Grant(ask, *states[*chosen], now);
+  Grant(ask, *states[*chosen], candidates[*chosen].holds_prefix, now);
   return true;
 }
 
-void Scheduler::Grant(const SlotAsk& ask, BackendState& state, TimePoint now) {
+void Scheduler::Grant(const SlotAsk& ask, BackendState& state, bool prefix_hit,
+                      TimePoint now) {
   waiting_.erase(AskId(ask));
   const uint64_t number = next_slot_++;
   Slot& slot = slots_[number];
@@ -223,6 +232,12 @@
   slot.batch = ask.request.batch();
   slot.solo = ask.request.solo();
   slot.granted_at = now;
+  slot.prefix_hit = prefix_hit;
+  slot.was_idle = state.in_flight() == 0;
+  const double prefill_ms = prefix_hit ? routing_.hit_ms : routing_.miss_ms;
+  state.prefill_clear_at =
+      std::max(now, state.prefill_clear_at) + FromSeconds(prefill_ms / 1'000);
+  state.given_prefixes[ask.request.prefix_hash()] = now;
   (slot.batch ? state.batch : state.online) += 1;
   state.solo += slot.solo ? 1 : 0;
   state.reserved_for_solo = state.reserved_for_solo && !slot.solo;
@@ -381,10 +396,22 @@
   if (slot == slots_.end()) {
     return;
   }
+  LearnFirstToken(slot->second, release);
   FreeSlot(slot, now);
   Pump(now);
 }
 
+// Learns how long a first token takes from requests that had their server to
+// themselves, apart for cached prefixes and others.
+void Scheduler::LearnFirstToken(const Slot& slot,
+                                const proto::SlotRelease& release) {
+  if (!slot.was_idle || release.failed() || release.first_byte_ms() == 0) {
+    return;
+  }
+  double& known = slot.prefix_hit ? routing_.hit_ms : routing_.miss_ms;
+  known += kFirstTokenSmoothing * (release.first_byte_ms() - known);
+}
+
 void Scheduler::OnCancel(const std::string& origin, uint64_t request_id,
                          TimePoint now) {
   const auto matches = [&](const SlotAsk& ask) {
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -76,7 +76,7 @@
 
 struct SchedulerOptions {
   DispatchPolicy dispatch = OnlineFirst{};
-  RoutingPolicy routing = PrefixAffinity{};
+  RoutingPolicy routing = ExpectedFirstToken{};
   BackendOptions backends;
   // Slots of a host that has been silent this long are free again.
   milliseconds host_silence{2'000};
@@ -131,6 +131,9 @@
     bool batch = false;
     bool solo = false;
     bool revoking = false;
+    // The server was idle and held, or lacked, the prompt's prefix.
+    bool was_idle = false;
+    bool prefix_hit = false;
     TimePoint granted_at;
   };
 
@@ -152,7 +155,9 @@
                TimePoint now) const;
   uint32_t BatchLimit(const BackendState& state) const;
   bool TryGrant(const SlotAsk& ask, TimePoint now);
-  void Grant(const SlotAsk& ask, BackendState& state, TimePoint now);
+  void Grant(const SlotAsk& ask, BackendState& state, bool prefix_hit,
+             TimePoint now);
+  void LearnFirstToken(const Slot& slot, const proto::SlotRelease& release);
   void Pump(TimePoint now);
   void PumpPool(Pool& pool, TimePoint now);
   void RevokeFor(Pool& pool, TimePoint now);
--- a/src/document/service_document.cc
+++ b/src/document/service_document.cc
@@ -128,6 +128,7 @@
       reader.Uint("max_attempts", {1, 20}, document.max_attempts));
   document.key_staleness =
       milliseconds(reader.Uint("key_staleness_ms", {0, 86'400'000}, 0));
+  document.cut_off_reserve = reader.Number("cut_off_reserve", 0, 0.5, 0.0);
   document.engines_check_fencing = reader.Bool("engines_check_fencing", false);
   RefuseTwice(reader, "accounts", document.accounts,
               [](const auto& a) { return a.account; });
--- a/src/document/service_document.h
+++ b/src/document/service_document.h
@@ -54,6 +54,10 @@
   // For how long keyed requests go on without fresh confirmation of the keys.
   // 0 is strict: the confirmed lease only.
   milliseconds key_staleness{0};
+  // Share of each account's rate and burst that every host holds a part of by
+  // itself, so that a host that is cut off can admit that much. What idle hosts
+  // hold is not there for busy ones.
+  double cut_off_reserve = 0;
   // The service's engines refuse an order that carries an old fencing number.
   bool engines_check_fencing = false;
 
--- a/src/entry/chat_handler.cc
+++ b/src/entry/chat_handler.cc
@@ -105,6 +105,10 @@
       Refuse(admitted.error());
       return;
     }
+    if (MayRunUnrecorded()) {
+      RunUnrecorded(begin);
+      return;
+    }
     const Result<Acceptance> accepted = Accept();
     if (!accepted) {
       Refuse(accepted.error());
@@ -185,6 +189,10 @@
 
   Result<Acceptance> Accept() {
     SpanScope accept_span(host_.spans(), span_.context(), "accept");
+    return context_.items.Accept(NewItem(), Clock::now() + kAcceptLimit);
+  }
+
+  proto::ItemRecord NewItem() const {
     proto::ItemRecord item;
     item.set_id("item-" + RandomHex(kItemIdBytes));
     item.set_account(caller_.account);
@@ -197,10 +205,41 @@
     item.set_idempotent(true);
     item.set_deadline_unix_ms(UnixMs() + service_->document.online.count());
     item.set_traceparent(span_.context().ToHeader());
-    return context_.items.Accept(std::move(item), Clock::now() + kAcceptLimit);
+    return item;
   }
 
-  void RunItem(TimePoint begin) {
+  // A host that is cut off serves what the service's team allows by its
+  // staleness. A request with an idempotency key is not among that: a first
+  // copy may be running elsewhere.
+  bool MayRunUnrecorded() const {
+    return !host_.config().Fresh(Clock::now(), Duration(0)) &&
+           !http_request_.has("Idempotency-Key");
+  }
+
+  // Runs the request now and records it with its result when the replicas can
+  // be reached again.
+  void RunUnrecorded(TimePoint begin) {
+    item_ = NewItem();
+    item_.set_generation(1);
+    item_.set_accepted_unix_ms(UnixMs());
+    response_.set("X-Sequoialb-Item", item_.id());
+    response_.set("X-Sequoialb-Recorded", "later");
+    const Result<ChatAnswer> answer = context_.chat.Run(MakeObservedRun(begin));
+    if (!answer) {
+      End(answer.error());
+      return;
+    }
+    const Status queued =
+        context_.items.RecordLater(item_, Completion(item_, answer));
+    if (!queued) {
+      End(queued.error());
+      return;
+    }
+    EndWhole(*answer);
+  }
+
+  // The run with this exchange as the one that sees the text.
+  ChatRun MakeObservedRun(TimePoint begin) {
     ChatRun run =
         MakeRun(request_, *service_, caller_.account, span_.context());
     run.on_text = [this, begin](const std::string& text) {
@@ -212,7 +251,11 @@
       }
       WriteText(text);
     };
-    const Result<ChatAnswer> answer = context_.chat.Run(run);
+    return run;
+  }
+
+  void RunItem(TimePoint begin) {
+    const Result<ChatAnswer> answer = context_.chat.Run(MakeObservedRun(begin));
     const Status recorded = context_.items.Complete(
         Completion(item_, answer), Clock::now() + kCompleteLimit);
     if (!answer) {
--- a/src/entry/http_io.cc
+++ b/src/entry/http_io.cc
@@ -14,11 +14,32 @@
 namespace {
 
 constexpr size_t kReadBytes = 64U << 10U;
+constexpr size_t kDiscardBytes = 16U << 20U;
 constexpr int64_t kMsPerSecond = 1'000;
 constexpr char kBearer[] = "Bearer ";
 
 }  // namespace
 
+namespace {
+
+// Reads and drops what is left of a body that is refused, up to a bound: a
+// connection closed over unread bytes is reset, and the caller would not see
+// the refusal.
+void Discard(std::istream& in) {
+  std::array<char, kReadBytes> buffer{};
+  size_t dropped = 0;
+  try {
+    while (dropped < kDiscardBytes &&
+           (in.read(buffer.data(), buffer.size()) || in.gcount() > 0)) {
+      dropped += static_cast<size_t>(in.gcount());
+    }
+  } catch (const Poco::Exception&) {
+    return;  // The caller is gone.
+  }
+}
+
+}  // namespace
+
 Result<std::string> ReadBody(Poco::Net::HTTPServerRequest& request,
                              uint64_t most) {
   const Error too_large{
@@ -26,6 +47,7 @@
       "the body is over the limit of " + std::to_string(most) + " bytes"};
   if (request.hasContentLength() &&
       static_cast<uint64_t>(request.getContentLength64()) > most) {
+    Discard(request.stream());
     return tl::unexpected<Error>(too_large);
   }
   std::string body;
@@ -35,6 +57,7 @@
     while (in.read(buffer.data(), buffer.size()) || in.gcount() > 0) {
       body.append(buffer.data(), static_cast<size_t>(in.gcount()));
       if (body.size() > most) {
+        Discard(in);
         return tl::unexpected<Error>(too_large);
       }
     }
--- a/src/host/host.cc
+++ b/src/host/host.cc
@@ -127,8 +127,9 @@
     items.push_back({nullptr, wake_fd_, ZMQ_POLLIN, 0});
     transport_->AddPollItems(items);
     const TimePoint before = Clock::now();
+    // Rounded up: a wait of a fraction of a millisecond would be a busy loop.
     const int64_t wait_ms =
-        transport_->HasLocal() ? 0 : RemainingMs(tick_due, before);
+        transport_->HasLocal() ? 0 : RemainingMs(tick_due, before) + 1;
     zmq::poll(items, milliseconds(wait_ms));
     const TimePoint now = Clock::now();
     // Timers first: after a pause they end what must not be acted on any more.
--- a/src/rates/local_bucket.h
+++ b/src/rates/local_bucket.h
@@ -1,4 +1,6 @@
-// The static-shares baseline: each host has its part of the rate and burst.
+// Buckets that a host keeps by itself: its part of a rate that is divided among
+// all hosts. The static-shares baseline is made of them, and so is the reserve
+// for being cut off.
 #pragma once
 
 #include <map>
@@ -11,14 +13,17 @@
 
 class LocalBuckets {
  public:
-  // Takes one token from this host's 1/hosts share; returns 0 when taken, else
-  // the milliseconds until the share has one.
+  // Takes one token from this host's 1/hosts part; returns 0 when taken, else
+  // the milliseconds until the part has one. `least_burst` is what a part holds
+  // at least: 1 lets small accounts in at all, 0 keeps the sum of all parts
+  // exact. A bucket begins full only with `full`.
   int64_t Take(const std::string& account, BucketTerms terms, size_t hosts,
-               TimePoint now) {
+               double least_burst, bool full, TimePoint now) {
     const double rate = terms.rate / static_cast<double>(hosts);
     const double burst =
-        std::max(1.0, terms.burst / static_cast<double>(hosts));
-    auto [entry, added] = buckets_.try_emplace(account, Bucket{burst, now});
+        std::max(least_burst, terms.burst / static_cast<double>(hosts));
+    auto [entry, added] =
+        buckets_.try_emplace(account, Bucket{full ? burst : 0, now});
     Bucket& bucket = entry->second;
     bucket.tokens = std::min(
         burst, bucket.tokens + rate * ToSeconds(now - bucket.refilled_at));
--- a/src/rates/rate_service.cc
+++ b/src/rates/rate_service.cc
@@ -35,6 +35,10 @@
 }
 
 Status RateService::Take(const std::string& account, TimePoint deadline) {
+  if (TakeReserve(account, Clock::now())) {
+    taken_.Add();
+    return {};
+  }
   Status status = std::holds_alternative<StaticShares>(policy_)
                       ? TakeLocal(account, Clock::now())
                       : TakeFromOwner(account, deadline);
@@ -44,6 +48,17 @@
   return status;
 }
 
+// A restarted host begins with an empty reserve: its earlier process may have
+// spent it.
+bool RateService::TakeReserve(const std::string& account, TimePoint now) {
+  const BucketTerms reserve = config_.current()->ReserveOf(account);
+  if (reserve.rate <= 0) {
+    return false;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return reserve_.Take(account, reserve, hosts_, 0, false, now) == 0;
+}
+
 Status RateService::TakeLocal(const std::string& account, TimePoint now) {
   const auto terms = config_.current()->TermsOf(account);
   if (!terms) {
@@ -53,7 +68,7 @@
   int64_t retry_after_ms = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    retry_after_ms = local_.Take(account, *terms, hosts_, now);
+    retry_after_ms = local_.Take(account, *terms, hosts_, 1, true, now);
   }
   return retry_after_ms == 0 ? Status() : RateLimited(account, retry_after_ms);
 }
--- a/src/rates/rate_service.h
+++ b/src/rates/rate_service.h
@@ -39,6 +39,7 @@
   void Tick(TimePoint now, TimePoint session_lease);
 
  private:
+  bool TakeReserve(const std::string& account, TimePoint now);
   Status TakeLocal(const std::string& account, TimePoint now);
   Status TakeFromOwner(const std::string& account, TimePoint deadline);
   Status RateLimited(const std::string& account, int64_t retry_after_ms);
@@ -57,6 +58,7 @@
   std::condition_variable changed_;
   LoanHolder holder_;
   LocalBuckets local_;
+  LocalBuckets reserve_;
 
   Counter& taken_;
   Counter& limited_;
--- a/src/requests/item_ledger.cc
+++ b/src/requests/item_ledger.cc
@@ -8,6 +8,7 @@
 
 constexpr milliseconds kPoll{100};
 constexpr seconds kBackgroundTry{5};
+constexpr size_t kMaxUnrecorded = 10'000;
 
 }  // namespace
 
@@ -64,6 +65,22 @@
   return Acceptance{result->item(), result->repeated()};
 }
 
+Status ItemLedger::RecordLater(proto::ItemRecord item,
+                               const proto::CompleteItem& result) {
+  if (unrecorded() >= kMaxUnrecorded) {
+    return Fail(ErrorCode::kOverloaded, "too many results wait to be recorded",
+                RunState::kRan);
+  }
+  item.set_owner(host_.settings().host);
+  item.set_owner_incarnation(host_.incarnation());
+  proto::Command accept;
+  *accept.mutable_accept_item()->mutable_item() = std::move(item);
+  proto::Command complete;
+  *complete.mutable_complete_item() = result;
+  Enqueue({accept, complete});
+  return {};
+}
+
 Status ItemLedger::MarkSent(const proto::ItemRecord& item, TimePoint deadline) {
   proto::Command command;
   command.mutable_mark_sent()->set_item_id(item.id());
--- a/src/requests/item_ledger.h
+++ b/src/requests/item_ledger.h
@@ -32,6 +32,10 @@
   // the answer "not run" stays true.
   Result<Acceptance> Accept(proto::ItemRecord item, TimePoint deadline);
 
+  // Records an item and its result once that is possible, for one that ran
+  // while this host was cut off. Fails when too many wait already.
+  Status RecordLater(proto::ItemRecord item, const proto::CompleteItem& result);
+
   // Records that a call which may not be repeated is about to be sent.
   Status MarkSent(const proto::ItemRecord& item, TimePoint deadline);
 
--- a/src/routing/routing.cc
+++ b/src/routing/routing.cc
@@ -9,6 +9,9 @@
 namespace sequoialb {
 namespace {
 
+// What a slow server's penalty of one request stands for.
+constexpr double kPenaltyMs = 100;
+
 using Candidates = std::vector<RoutingCandidate>;
 
 template <typename LoadOf>
@@ -47,6 +50,17 @@
           RoutingState& state)
       : candidates_(candidates), prefix_hash_(prefix_hash), state_(state) {}
 
+  std::optional<size_t> operator()(const ExpectedFirstToken& /*policy*/) const {
+    return Least(
+        candidates_,
+        [this](const RoutingCandidate& c) {
+          const double own_ms = c.holds_prefix ? state_.hit_ms : state_.miss_ms;
+          // Requests that already decode slow the rest down a little.
+          return c.backlog_ms + own_ms + c.in_flight + kPenaltyMs * c.penalty;
+        },
+        state_);
+  }
+
   std::optional<size_t> operator()(const PrefixAffinity& policy) const {
     if (prefix_hash_ == 0) {
       return LeastInFlightOf(candidates_, state_);
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -1,11 +1,12 @@
 // Choice of one backend server among those with room, as a pure function.
 //
-// Worked example for prefix affinity with a bound of 1.25. Three servers have
-// 5, 5 and 1 requests in flight, so the mean with the new request counted is
-// (5 + 5 + 1 + 1) / 3 = 4 and the bound 5. The prompt's prefix ranks the
-// first server highest; with the request it would hold 6, above the bound, and
-// so would the second, so the third takes it. Without the bound a popular
-// prefix would pile up on one server while the others idle.
+// Worked example for the expected first token. A prompt takes 100 ms to
+// prefill, or 30 ms where its prefix is cached. Server A holds the prefix and
+// has 50 ms of prefills before it, B is idle without the prefix, C has 20 ms of
+// backlog without it. The first token is expected after 80, 100 and 120 ms, so
+// A takes it. With 90 ms of backlog A would expect 120 ms and B would take it:
+// affinity gives way by itself where it costs more than it saves, and a popular
+// prefix spreads over as many servers as it needs.
 #pragma once
 
 #include <cstdint>
@@ -29,12 +30,17 @@
   bool has_room = false;
   // The server's cache events say that it holds the prompt's prefix.
   bool holds_prefix = false;
+  // Time until the prefills that it was given are done.
+  double backlog_ms = 0;
   // Added load that stands for slow answers, in requests.
   double penalty = 0;
 };
 
 // What changes from one choice to the next.
 struct RoutingState {
+  // Times to first token on an idle server, with the prefix cached and without.
+  double hit_ms = 0;
+  double miss_ms = 0;
   uint64_t next_turn = 0;
   std::mt19937_64 random;
 };
--- a/src/routing/routing_policy.h
+++ b/src/routing/routing_policy.h
@@ -6,8 +6,12 @@
 
 namespace sequoialb {
 
-// Prefers the server that is likely to hold the prompt's prefix in its cache,
-// as long as its load stays below `load_bound` times the mean.
+// Takes the server whose first token is expected soonest: its backlog of
+// prefills plus this prompt's own, which is shorter where its prefix is cached.
+struct ExpectedFirstToken {};
+
+// Baseline: prefers the server that is likely to hold the prompt's prefix in
+// its cache, as long as its load stays below `load_bound` times the mean.
 struct PrefixAffinity {
   double load_bound = 1.25;
 };
@@ -24,7 +28,8 @@
 // Baseline: any server.
 struct RandomChoice {};
 
-using RoutingPolicy = std::variant<PrefixAffinity, LeastInFlight, LeastReported,
-                                   RoundRobin, RandomChoice>;
+using RoutingPolicy =
+    std::variant<ExpectedFirstToken, PrefixAffinity, LeastInFlight,
+                 LeastReported, RoundRobin, RandomChoice>;
 
 }  // namespace sequoialb
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -67,19 +67,19 @@
                                          AskOwner{}};
   const std::vector<DispatchPolicy> dispatch = {OnlineFirst{}, FixedReserve{},
                                                 FirstCome{}};
-  const std::vector<RoutingPolicy> routing = {PrefixAffinity{}, LeastInFlight{},
-                                              LeastReported{}, RoundRobin{},
-                                              RandomChoice{}};
+  const std::vector<RoutingPolicy> routing = {
+      ExpectedFirstToken{}, PrefixAffinity{}, LeastInFlight{},
+      LeastReported{},      RoundRobin{},     RandomChoice{}};
   Policies policies;
   policies.rates = rates[reader.OneOf(
       "rates", {"owner_grants", "static_shares", "ask_owner"}, 0)];
   policies.dispatch = dispatch[reader.OneOf(
       "dispatch", {"online_first", "fixed_reserve", "first_come"}, 0)];
-  policies.routing =
-      routing[reader.OneOf("routing",
-                           {"prefix_affinity", "least_in_flight",
-                            "least_reported", "round_robin", "random"},
-                           0)];
+  policies.routing = routing[reader.OneOf(
+      "routing",
+      {"expected_first_token", "prefix_affinity", "least_in_flight",
+       "least_reported", "round_robin", "random"},
+      0)];
   reader.RefuseUnknown();
   return policies;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -50,7 +50,7 @@
 struct Policies {
   RatePolicy rates = OwnerGrants{};
   DispatchPolicy dispatch = OnlineFirst{};
-  RoutingPolicy routing = PrefixAffinity{};
+  RoutingPolicy routing = ExpectedFirstToken{};
 };
 
 struct Settings {
--- a/test/correctness/placement_test.cc
+++ b/test/correctness/placement_test.cc
@@ -63,6 +63,19 @@
   }
 }
 
+TEST(RoutingTest, ExpectedFirstTokenWeighsBacklogAgainstTheCache) {
+  RoutingState state;
+  state.hit_ms = 30;
+  state.miss_ms = 100;
+  auto candidates = Candidates({1, 1, 1});
+  candidates[0].holds_prefix = true;
+  candidates[0].backlog_ms = 50;
+  candidates[2].backlog_ms = 20;
+  EXPECT_EQ(ChooseBackend(ExpectedFirstToken{}, candidates, 42, state), 0U);
+  candidates[0].backlog_ms = 90;
+  EXPECT_EQ(ChooseBackend(ExpectedFirstToken{}, candidates, 42, state), 1U);
+}
+
 TEST(RoutingTest, NobodyWithoutRoomIsChosen) {
   const std::vector<RoutingPolicy> policies = {PrefixAffinity{},
                                                LeastInFlight{}, LeastReported{},
--- a/test/scenarios/fleet.cc
+++ b/test/scenarios/fleet.cc
@@ -36,6 +36,18 @@
   return ntohs(address.sin_port);
 }
 
+// Makes a self-signed certificate with the openssl program.
+void MakeCertificate(const std::string& certificate,
+                     const std::string& private_key) {
+  const std::string command =
+      "openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj /CN=test"
+      " -keyout " +
+      private_key + " -out " + certificate + " >/dev/null 2>&1";
+  if (std::system(command.c_str()) != 0) {
+    throw std::runtime_error("openssl could not make a certificate");
+  }
+}
+
 std::string Quoted(const std::string& text) { return '"' + text + '"'; }
 
 }  // namespace
@@ -63,7 +75,12 @@
 }
 
 void Fleet::MakeHosts(int hosts, int domains, int replicas,
-                      const std::string& extra_settings, bool curve) {
+                      const std::string& extra_settings, bool curve, bool tls) {
+  const std::string certificate = folder_ + "/tls.crt";
+  const std::string private_key = folder_ + "/tls.key";
+  if (tls) {
+    MakeCertificate(certificate, private_key);
+  }
   std::string list;
   std::map<std::string, std::string> secrets;
   for (int i = 1; i <= hosts; ++i) {
@@ -102,8 +119,14 @@
         << (curve ? "  \"curve_secret_key_file\": " + Quoted(secrets[name]) +
                         ",\n"
                   : "")
+        << (tls ? "  \"tls\": {\"certificate\": " + Quoted(certificate) +
+                      ", \"private_key\": " + Quoted(private_key) + "},\n"
+                : "")
         << extra_settings << "  \"hosts\": [\n"
         << list << "\n  ]\n}\n";
+    if (tls) {
+      host.http = "https://" + host.http;
+    }
     host.command = {programs_ + "/sequoialbd", "--settings=" + settings};
     host.log = folder_ + "/" + name + ".log";
   }
--- a/test/scenarios/fleet.h
+++ b/test/scenarios/fleet.h
@@ -29,7 +29,7 @@
 
   // Writes the settings of hosts h1, h2, ... spread over domains d1, d2, ...
   void MakeHosts(int hosts, int domains, int replicas,
-                 const std::string& extra_settings, bool curve);
+                 const std::string& extra_settings, bool curve, bool tls);
   void AddEngine(const std::string& name, const std::string& domain,
                  const std::string& service, const std::string& models,
                  const std::vector<std::string>& options);
--- a/test/scenarios/runner.cc
+++ b/test/scenarios/runner.cc
@@ -21,9 +21,9 @@
 //   load K rate=R seconds=S as=L [idem]     ask in the background, at all hosts
 //   load-join L [refused=any]               no answer may be wrong or lost
 //   tally FIELD = N | <= N | >= N           sum over running backend servers
-//   measure --OPTION... | measure& ... measure-join   run sequoialb-load
-//   usage NAME seconds=N                    print the hosts' resource use
-//   pause SECONDS | print TEXT
+//   measure --OPTION... [at=HOST] [direct=yes] | measure& ... measure-join run
+//   sequoialb-load usage NAME seconds=N                    print the hosts'
+//   resource use pause SECONDS | print TEXT
 //
 // Words in 'single quotes' are taken as they are.
 //
@@ -223,7 +223,11 @@
         {"measure", &Runner::Measure},
         {"measure&", &Runner::Measure},
         {"measure-join", &Runner::MeasureJoin},
-        {"usage", &Runner::Usage}};
+        {"usage", &Runner::Usage},
+        {"metric", &Runner::Metric},
+        {"run", &Runner::RunCommand},
+        {"traced", &Runner::Traced},
+        {"failure", &Runner::ShowFailure}};
     const auto found = kVerbs.find(verb);
     if (found == kVerbs.end()) {
       Failed("unknown verb " + verb);
@@ -245,7 +249,8 @@
     }
     fleet_.MakeHosts(line.Number("hosts", 4), line.Number("domains", 3),
                      line.Number("replicas", 3), extra,
-                     line.Option("curve") == "yes");
+                     line.Option("curve") == "yes",
+                     line.Option("tls") == "yes");
     for (const std::string& host : fleet_.Hosts(false)) {
       fleet_.Start(host);
     }
@@ -755,13 +760,15 @@
     Expect(line, plain_.at(line.Word(1)).get());
   }
 
-  // Sends bytes as they are and expects a status: raw PATH "body" status=400.
+  // Sends bytes as they are and expects a status: raw KEY PATH "body"
+  // status=400 [size=BYTES of padding].
   void Raw(const Line& line) {
     HttpCall call;
     call.method = "POST";
     call.server = fleet_.At(HostFor(line)).http;
     call.path = line.Word(2);
-    call.body = line.Word(3);
+    call.body = line.Word(3) +
+                std::string(static_cast<size_t>(line.Number("size", 0)), 'x');
     call.deadline = Clock::now() + kLiveness;
     if (keys_.count(line.Word(1)) > 0) {
       call.headers["Authorization"] = "Bearer " + keys_.at(line.Word(1));
@@ -1008,8 +1015,14 @@
   // Runs the load tool with all hosts and keys; its options follow the verb.
   void Measure(const Line& line) {
     std::string servers;
-    for (const std::string& host : fleet_.Hosts()) {
-      servers += (servers.empty() ? "" : ",") + fleet_.At(host).http;
+    const bool direct = line.Option("direct") == "yes";
+    for (const std::string& name :
+         direct ? fleet_.BackendServers() : fleet_.Hosts()) {
+      const bool wanted =
+          line.Option("at").empty() || Resolve(line.Option("at")) == name;
+      if (wanted || direct) {
+        servers += (servers.empty() ? "" : ",") + fleet_.At(name).http;
+      }
     }
     std::string keys;
     for (const auto& [account, key] : keys_) {
@@ -1035,6 +1048,92 @@
     std::cout << *ReadFile(fleet_.At(name).log) << std::flush;
   }
 
+  // Runs the command line with the fleet's hosts and token, and prints what it
+  // prints.
+  void RunCommand(const Line& line) {
+    std::string servers;
+    for (const std::string& host : fleet_.Hosts()) {
+      servers += (servers.empty() ? "" : ",") + fleet_.At(host).http;
+    }
+    std::vector<std::string> words(line.words.begin() + 1, line.words.end());
+    words.push_back("--server=" + servers);
+    words.push_back("--token=" + fleet_.token());
+    if (!line.Option("key").empty()) {
+      words.push_back("--key=" + keys_.at(line.Option("key")));
+    }
+    const std::string name = "command-" + std::to_string(commands_++);
+    fleet_.AddTool(name, "sequoialb", words);
+    fleet_.Start(name);
+    const int code = fleet_.Wait(name);
+    std::istringstream printed(*ReadFile(fleet_.At(name).log));
+    for (std::string text; std::getline(printed, text);) {
+      std::cout << "  " << text << "\n";
+    }
+    std::cout << std::flush;
+    if (code != line.Number("code", 0)) {
+      Failed("exit code " + std::to_string(code));
+    }
+  }
+
+  // Asks within a trace of its own and prints the trace.
+  void Traced(const Line& line) {
+    const std::string trace_id = RandomHex(16);
+    HttpCall call;
+    call.method = "POST";
+    call.server = fleet_.At(HostFor(line)).http;
+    call.path = "/v1/chat/completions";
+    call.body = R"({"model":"cart-7b","messages":[{"role":"user","content":")" +
+                line.Word(2) + "\"}]}";
+    call.deadline = Clock::now() + kLiveness;
+    call.headers["Authorization"] = "Bearer " + keys_.at(line.Word(1));
+    call.headers["traceparent"] = "00-" + trace_id + "-00f067aa0ba902b7-01";
+    const auto answer = CallHttp(call);
+    if (!answer || answer->status != 200) {
+      Failed("the question was not answered");
+    }
+    Line command;
+    command.words = {"run", "trace", trace_id};
+    RunCommand(command);
+  }
+
+  // Prints one failed item of a batch.
+  void ShowFailure(const Line& line) {
+    const Batch& batch = batches_.at(line.Word(1));
+    const auto content =
+        CallBatch(batch, "GET", "/v1/files/output-" + batch.id + "/content",
+                  HostFor(line));
+    std::istringstream lines(content ? content->body : "");
+    for (std::string text; std::getline(lines, text);) {
+      if (text.find("\"error\":{") != std::string::npos) {
+        std::cout << "  " << text << std::endl;
+        return;
+      }
+    }
+    Failed("no item failed");
+  }
+
+  // Prints the sum of a counter over all hosts.
+  void Metric(const Line& line) {
+    double sum = 0;
+    for (const std::string& host : fleet_.Hosts()) {
+      sum += MetricOf(host, line.Word(1));
+    }
+    std::cout << line.Word(1) << " " << sum << std::endl;
+  }
+
+  double MetricOf(const std::string& host, const std::string& metric) {
+    HttpCall call;
+    call.server = fleet_.At(host).http;
+    call.path = "/metrics";
+    call.deadline = Clock::now() + seconds(5);
+    const auto answer = CallHttp(call);
+    const std::string name = "\n" + metric + " ";
+    const size_t at = answer ? answer->body.find(name) : std::string::npos;
+    return at == std::string::npos
+               ? 0
+               : std::stod(answer->body.substr(at + name.size()));
+  }
+
   // Prints each host's processor time, memory and traffic over a span.
   void Usage(const Line& line) {
     const double span_s = std::stod(line.Option("seconds", "5"));
@@ -1088,16 +1187,7 @@
         static_cast<double>(sysconf(_SC_CLK_TCK));
     usage.memory_mb = std::stod(values[kResidentPages]) *
                       static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
-    HttpCall call;
-    call.server = fleet_.At(host).http;
-    call.path = "/metrics";
-    call.deadline = Clock::now() + seconds(5);
-    const auto answer = CallHttp(call);
-    const std::string name = "\nsequoialb_peer_sent_bytes_total ";
-    const size_t at = answer ? answer->body.find(name) : std::string::npos;
-    if (at != std::string::npos) {
-      usage.sent_bytes = std::stod(answer->body.substr(at + name.size()));
-    }
+    usage.sent_bytes = MetricOf(host, "sequoialb_peer_sent_bytes_total");
     return usage;
   }
 
@@ -1129,6 +1219,7 @@
   std::map<std::string, std::future<AskResult>> pending_;
   std::map<std::string, std::future<Result<int>>> plain_;
   std::map<std::string, std::future<int>> stops_;
+  int commands_ = 0;
   std::vector<std::string> measures_;
   std::map<std::string, Batch> batches_;
   std::map<std::string, std::shared_ptr<LoadResult>> loads_;
