--- a/programs/sequoialb-emulator.cc
+++ b/programs/sequoialb-emulator.cc
@@ -1,19 +1,17 @@
 // Stand-ins for backend servers, for experiments and tests.
-#include <docopt.h>
-#include <pthread.h>
-
-#include <csignal>
 #include <iostream>
 
+#include "client/arguments.h"
+#include "daemon/stop_signals.h"
 #include "emulator/engine_server.h"
 #include "emulator/service_server.h"
 
 namespace {
 
+using sequoialb::Arguments;
 using sequoialb::milliseconds;
 using sequoialb::emulator::EngineConfig;
 using sequoialb::emulator::ServiceConfig;
-using Arguments = std::map<std::string, docopt::value>;
 
 constexpr char kUsage[] =
     R"(Stands in for a backend server: a model engine or a plain service.
@@ -112,17 +110,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc});
-  sigset_t stop_signals;
-  sigemptyset(&stop_signals);
-  sigaddset(&stop_signals, SIGTERM);
-  sigaddset(&stop_signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &stop_signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  const auto wait_for_stop = [&stop_signals] {
-    int signal = 0;
-    sigwait(&stop_signals, &signal);
-  };
+  const auto arguments = sequoialb::ParseArguments(kUsage, argc, argv);
+  const sequoialb::StopSignals stop_signals;
+  const auto wait_for_stop = [&stop_signals] { stop_signals.Wait(); };
   const auto status =
       arguments.at("engine").asBool()
           ? sequoialb::emulator::RunEngine(ReadEngine(arguments), wait_for_stop)
--- a/programs/sequoialb-load.cc
+++ b/programs/sequoialb-load.cc
@@ -4,7 +4,6 @@
 // Latency counts from the instant at which a question was due, not from when a
 // busy client got round to sending it, so a stalled system cannot hide its
 // stalls. Every answer is checked to be whole and the caller's own.
-#include <docopt.h>
 #include <json/value.h>
 
 #include <algorithm>
@@ -22,6 +21,7 @@
 #include <thread>
 
 #include "base/hash.h"
+#include "client/arguments.h"
 #include "client/caller_client.h"
 #include "client/http_client.h"
 #include "rates/owner_bucket.h"
@@ -30,7 +30,6 @@
 namespace {
 
 using namespace sequoialb;  // NOLINT(google-build-using-namespace)
-using Arguments = std::map<std::string, docopt::value>;
 
 constexpr char kUsage[] =
     R"(Puts load on a sequoialb deployment and reports what became of it.
@@ -640,7 +639,7 @@
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
-  const auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc});
+  const auto arguments = sequoialb::ParseArguments(kUsage, argc, argv);
   const Plan plan = ReadPlan(arguments);
   LoadRun run(plan);
   run.Run();
--- a/programs/sequoialbd.cc
+++ b/programs/sequoialbd.cc
@@ -1,11 +1,9 @@
 // One host of the system: reads its settings, serves until SIGTERM or SIGINT.
-#include <docopt.h>
-#include <pthread.h>
-
-#include <csignal>
 #include <iostream>
 
+#include "client/arguments.h"
 #include "daemon/daemon.h"
+#include "daemon/stop_signals.h"
 #include "observe/log.h"
 #include "settings/settings.h"
 
@@ -36,7 +34,7 @@
 
 int main(int argc, char** argv) {
   const auto arguments =
-      docopt::docopt(kUsage, {argv + 1, argv + argc}, true, kVersion);
+      sequoialb::ParseArguments(kUsage, argc, argv, kVersion);
   const std::string path = arguments.at("--settings").asString();
   const auto settings = sequoialb::LoadSettings(path);
   if (!settings) {
@@ -48,18 +46,10 @@
               << " are valid\n";
     return 0;
   }
-  // Blocked before any thread starts, so that only sigwait below sees them.
-  sigset_t stop_signals;
-  sigemptyset(&stop_signals);
-  sigaddset(&stop_signals, SIGTERM);
-  sigaddset(&stop_signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &stop_signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  const sequoialb::StopSignals stop_signals;
   sequoialb::StartLog(settings->host, settings->log_level);
-  const auto status = sequoialb::RunDaemon(*settings, [&stop_signals] {
-    int signal = 0;
-    sigwait(&stop_signals, &signal);
-  });
+  const auto status =
+      sequoialb::RunDaemon(*settings, [&stop_signals] { stop_signals.Wait(); });
   if (!status) {
     sequoialb::LogError("cannot_serve", {{"reason", status.error().detail}});
     std::cerr << "sequoialbd: " << status.error().detail << "\n";
--- /dev/null
+++ b/src/client/arguments.h
@@ -0,0 +1,36 @@
+// Command-line arguments of the programs, by docopt, with the exit codes that
+// the programs document: 0 for help and version, 2 for wrong usage.
+#pragma once
+
+#include <docopt.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <string>
+
+namespace sequoialb {
+
+using Arguments = std::map<std::string, docopt::value>;
+
+constexpr int kExitWrongUsage = 2;
+
+// Parses the arguments by a usage text; ends the program when they do not fit.
+inline Arguments ParseArguments(const char* usage, int argc, char** argv,
+                                const std::string& version = "") {
+  try {
+    return docopt::docopt_parse(usage, {argv + 1, argv + argc}, true,
+                                !version.empty());
+  } catch (const docopt::DocoptExitHelp&) {
+    std::cout << usage;
+    std::exit(0);
+  } catch (const docopt::DocoptExitVersion&) {
+    std::cout << version << "\n";
+    std::exit(0);
+  } catch (const std::runtime_error& e) {
+    std::cerr << e.what() << "\n\n" << usage;
+    std::exit(kExitWrongUsage);
+  }
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/client/caller_commands.cc
@@ -0,0 +1,160 @@
+#include "client/caller_commands.h"
+
+#include <thread>
+
+#include "base/hash.h"
+#include "client/caller_client.h"
+#include "settings/json_fields.h"
+#include "settings/settings.h"
+
+namespace sequoialb {
+namespace {
+
+class CallerCommands {
+ public:
+  explicit CallerCommands(const CliContext& context) : context_(context) {}
+
+  int Run() { return context_.Flag("ask") ? AskQuestion() : Batch(); }
+
+ private:
+  int AskQuestion() const {
+    AskOptions options;
+    options.key = context_.key();
+    options.model = context_.Text("--model");
+    options.prompt = context_.Text("PROMPT");
+    options.idempotency_key = context_.Text("--idempotency-key");
+    options.ca_file = context_.ca_file();
+    options.deadline = context_.Deadline();
+    Error last{ErrorCode::kIo, "no host answered", RunState::kUnknown};
+    for (const std::string& server : context_.servers()) {
+      options.server = server;
+      bool begun = false;
+      const auto outcome = Ask(options, [&](const std::string& text) {
+        begun = true;
+        if (!context_.json()) {
+          std::cout << text << std::flush;
+        }
+      });
+      if (outcome) {
+        PrintOutcome(*outcome);
+        return kExitDone;
+      }
+      last = outcome.error();
+      // Another host may serve what this one truly did not run.
+      const bool may_repeat = !begun && (last.run == RunState::kNotRun ||
+                                         !options.idempotency_key.empty());
+      if (!may_repeat) {
+        break;
+      }
+    }
+    return Report(last);
+  }
+
+  void PrintOutcome(const AskOutcome& outcome) const {
+    if (!context_.json()) {
+      std::cout << "\n";
+      return;
+    }
+    Json::Value json;
+    json["item"] = outcome.item_id;
+    json["text"] = outcome.text;
+    json["repeated"] = outcome.repeated;
+    std::cout << JsonLine(json) << "\n";
+  }
+
+  int Batch() const {
+    if (context_.Flag("send")) {
+      return SendBatch();
+    }
+    const std::string id = context_.Text("BATCH_ID");
+    if (context_.Flag("list")) {
+      return PrintCaller("GET", "/v1/batches");
+    }
+    if (context_.Flag("cancel")) {
+      return PrintCaller("POST", "/v1/batches/" + id + "/cancel");
+    }
+    if (context_.Flag("results")) {
+      return PrintCaller("GET", "/v1/files/output-" + id + "/content");
+    }
+    return PrintCaller("GET", "/v1/batches/" + id);
+  }
+
+  int PrintCaller(const std::string& method, const std::string& path) const {
+    const auto answer =
+        context_.Send(context_.MakeCall(method, path, "", context_.key()));
+    if (!answer) {
+      return Report(answer.error());
+    }
+    std::cout << *answer
+              << (!answer->empty() && answer->back() == '\n' ? "" : "\n");
+    return kExitDone;
+  }
+
+  int SendBatch() const {
+    const auto lines = ReadFile(context_.Text("FILE"));
+    if (!lines) {
+      std::cerr << "sequoialb: " << lines.error().detail << "\n";
+      return kExitUsage;
+    }
+    // A key of its own makes a repetition on another host harmless.
+    std::string once = context_.Text("--idempotency-key");
+    once = once.empty() ? "cli-" + RandomHex(12) : once;
+    Error last{ErrorCode::kIo, "no host answered", RunState::kUnknown};
+    for (const std::string& server : context_.servers()) {
+      const auto batch =
+          StartBatch(server, context_.key(), *lines, context_.Text("--window"),
+                     once, context_.Deadline(), context_.ca_file());
+      if (batch) {
+        if (context_.Flag("--wait")) {
+          return WaitForBatch(CliContext::Parse(*batch)["id"].asString());
+        }
+        std::cout << (context_.json()
+                          ? *batch
+                          : CliContext::Parse(*batch)["id"].asString())
+                  << "\n";
+        return kExitDone;
+      }
+      last = batch.error();
+      if (last.code != ErrorCode::kIo && last.run == RunState::kRan) {
+        break;
+      }
+    }
+    return Report(last);
+  }
+
+  int WaitForBatch(const std::string& id) const {
+    constexpr milliseconds kPoll{300};
+    while (true) {
+      const auto answer = context_.Send(
+          context_.MakeCall("GET", "/v1/batches/" + id, "", context_.key()));
+      if (!answer) {
+        return Report(answer.error());
+      }
+      const Json::Value batch = CliContext::Parse(*answer);
+      const Json::Value& counts = batch["request_counts"];
+      if (!context_.json()) {
+        std::cerr << "\r" << id << " " << batch["status"].asString() << ": "
+                  << counts["completed"].asUInt() << " completed, "
+                  << counts["failed"].asUInt() << " failed of "
+                  << counts["total"].asUInt() << "   " << std::flush;
+      }
+      if (batch["status"].asString() != "in_progress") {
+        std::cerr << (context_.json() ? "" : "\n");
+        std::cout << (context_.json() ? *answer : id) << "\n";
+        return batch["status"].asString() == "completed" ? kExitDone
+                                                         : kExitRefused;
+      }
+      std::this_thread::sleep_for(kPoll);
+    }
+  }
+
+  const CliContext& context_;
+};
+
+}  // namespace
+
+int RunCallerCommand(const CliContext& context) {
+  return CallerCommands(context).Run();
+}
+
+}  // namespace sequoialb
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -13,10 +13,8 @@
 namespace {
 
 constexpr milliseconds kHelloInterval{200};
-constexpr milliseconds kSnapshotResend{500};
 constexpr seconds kExpiryInterval{10};
 constexpr seconds kReminderInterval{2};
-constexpr size_t kSnapshotChunkBytes = 512U << 10U;
 // Entries kept in memory behind a snapshot, for replicas that lag a little.
 constexpr uint64_t kTrailingEntries = 5'000;
 constexpr size_t kTakeOverBatch = 500;
@@ -35,16 +33,6 @@
   names->erase(std::remove(names->begin(), names->end(), name), names->end());
 }
 
-std::vector<std::string> ReplicaHosts(const Settings& settings) {
-  std::vector<std::string> hosts;
-  for (const HostEntry& entry : settings.hosts) {
-    if (entry.replica) {
-      hosts.push_back(entry.host);
-    }
-  }
-  return hosts;
-}
-
 }  // namespace
 
 Replica::Replica(const Settings& settings, FileSystem& files,
@@ -54,7 +42,7 @@
       sender_(sender),
       post_(std::move(post)),
       folder_(settings.data_folder + "/replica"),
-      replica_hosts_(ReplicaHosts(settings)),
+      replica_hosts_(settings.replica_hosts()),
       committed_(metrics.counter("sequoialb_log_committed_total")),
       persist_latency_(metrics.latency("sequoialb_log_sync_seconds")) {}
 
@@ -480,11 +468,7 @@
   if (leads()) {
     LeaderDuties(now);
   }
-  for (auto& [node, transfer] : transfers_) {
-    if (now >= transfer.resend_at) {
-      SendSnapshotChunk(node, transfer, now);
-    }
-  }
+  SendSnapshotChunks(now);
 }
 
 void Replica::NoteRole(TimePoint now) {
@@ -505,7 +489,7 @@
     proposed_.clear();
     own_proposals_.clear();
     known_config_.clear();
-    transfers_.clear();
+    snapshot_sender_.Clear();
     if (was_leader && !became_leader) {
       LogInfo("leadership_lost",
               {{"node", node_}, {"term", std::to_string(last_term_)}});
@@ -867,30 +851,34 @@
       LogWarn("snapshot_unreadable", {{"reason", data.error().detail}});
       continue;
     }
-    SnapshotTransfer& transfer = transfers_[node];
-    transfer =
-        SnapshotTransfer{snapshot_index_, raft_->term(), 0,
-                         std::make_shared<const std::string>(*data), now};
     LogInfo("snapshot_transfer",
             {{"to", node}, {"index", std::to_string(snapshot_index_)}});
-    SendSnapshotChunk(node, transfer, now);
+    snapshot_sender_.Start(node, snapshot_index_,
+                           std::make_shared<const std::string>(*data), now);
+  }
+}
+
+void Replica::SendSnapshotChunks(TimePoint now) {
+  std::vector<OutgoingRaft> chunks = snapshot_sender_.TakeChunks(now);
+  for (OutgoingRaft& outgoing : chunks) {
+    outgoing.message.set_from_node(node_);
+    outgoing.message.set_to_node(outgoing.to);
+    outgoing.message.mutable_snapshot_chunk()->set_term(raft_->term());
   }
+  SendRaft(chunks);
 }
 
-void Replica::SendSnapshotChunk(const std::string& node,
-                                SnapshotTransfer& transfer, TimePoint now) {
-  transfer.resend_at = now + kSnapshotResend;
-  proto::RaftMessage message;
-  message.set_from_node(node_);
-  message.set_to_node(node);
-  proto::SnapshotChunk& chunk = *message.mutable_snapshot_chunk();
-  chunk.set_term(raft_->term());
-  chunk.set_last_index(transfer.index);
-  chunk.set_offset(transfer.offset);
-  chunk.set_data(transfer.data->substr(transfer.offset, kSnapshotChunkBytes));
-  chunk.set_last(transfer.offset + kSnapshotChunkBytes >=
-                 transfer.data->size());
-  SendRaft({OutgoingRaft{node, message}});
+OutgoingRaft Replica::SnapshotAnswer(const proto::RaftMessage& chunk,
+                                     uint64_t next_offset) const {
+  OutgoingRaft outgoing;
+  outgoing.to = chunk.from_node();
+  outgoing.message.set_from_node(node_);
+  outgoing.message.set_to_node(chunk.from_node());
+  proto::SnapshotReply& reply = *outgoing.message.mutable_snapshot_reply();
+  reply.set_term(chunk.snapshot_chunk().term());
+  reply.set_last_index(chunk.snapshot_chunk().last_index());
+  reply.set_next_offset(next_offset);
+  return outgoing;
 }
 
 void Replica::OnSnapshotChunk(const proto::RaftMessage& message,
@@ -900,34 +888,21 @@
       message.from_node() != raft_->leader()) {
     return;
   }
-  if (chunk.offset() == 0 || chunk.last_index() != receipt_.index) {
-    receipt_ = SnapshotReceipt{chunk.last_index(), ""};
-  }
-  const bool next = chunk.offset() == receipt_.data.size();
-  if (next) {
-    receipt_.data += chunk.data();
-  }
-  if (next && chunk.last()) {
-    InstallReceived(message, now);
+  const std::optional<std::string> whole = snapshot_receiver_.OnChunk(chunk);
+  if (whole) {
+    InstallReceived(message, *whole, now);
     return;
   }
-  proto::RaftMessage reply;
-  reply.set_from_node(node_);
-  reply.set_to_node(message.from_node());
-  reply.mutable_snapshot_reply()->set_term(chunk.term());
-  reply.mutable_snapshot_reply()->set_last_index(chunk.last_index());
-  reply.mutable_snapshot_reply()->set_next_offset(receipt_.data.size());
-  SendRaft({OutgoingRaft{message.from_node(), reply}});
+  SendRaft({SnapshotAnswer(message, snapshot_receiver_.size())});
 }
 
 // Makes a received snapshot durable, takes it as the state, and says so. The
 // control thread waits for the disk here: until the snapshot is durable this
 // replica has nothing else to do.
 void Replica::InstallReceived(const proto::RaftMessage& message,
-                              TimePoint now) {
-  const std::string name = SnapshotFileName(receipt_.index);
-  const std::string data = std::move(receipt_.data);
-  receipt_ = SnapshotReceipt{};
+                              const std::string& data, TimePoint now) {
+  const std::string name =
+      SnapshotFileName(message.snapshot_chunk().last_index());
   Ledger loaded;
   const auto mark = DecodeSnapshot(
       data, name,
@@ -953,35 +928,20 @@
     formation_.reset();
     LogInfo("snapshot_installed", {{"index", std::to_string(mark->index)}});
   }
-  proto::RaftMessage reply;
-  reply.set_from_node(node_);
-  reply.set_to_node(message.from_node());
-  reply.mutable_snapshot_reply()->set_term(message.snapshot_chunk().term());
-  reply.mutable_snapshot_reply()->set_last_index(mark->index);
-  reply.mutable_snapshot_reply()->set_next_offset(data.size());
-  const std::vector<OutgoingRaft> replies = {
-      OutgoingRaft{message.from_node(), reply}};
-  disk_->Add(
-      [this, replies] { post_([this, replies] { SendRaft(replies); }); });
+  const std::vector<OutgoingRaft> answer = {
+      SnapshotAnswer(message, data.size())};
+  disk_->Add([this, answer] { post_([this, answer] { SendRaft(answer); }); });
 }
 
 void Replica::OnSnapshotReply(const proto::RaftMessage& message,
                               TimePoint now) {
-  const proto::SnapshotReply& reply = message.snapshot_reply();
-  const auto found = transfers_.find(message.from_node());
-  if (found == transfers_.end() || reply.last_index() != found->second.index ||
-      reply.term() != raft_->term()) {
-    return;
-  }
-  SnapshotTransfer& transfer = found->second;
-  if (reply.next_offset() >= transfer.data->size()) {
-    raft_->SnapshotDelivered(message.from_node(), transfer.index);
-    transfers_.erase(found);
+  if (message.snapshot_reply().term() != raft_->term()) {
     return;
   }
-  if (reply.next_offset() > transfer.offset || reply.next_offset() == 0) {
-    transfer.offset = reply.next_offset();
-    SendSnapshotChunk(message.from_node(), transfer, now);
+  const std::optional<uint64_t> delivered = snapshot_sender_.OnReply(
+      message.from_node(), message.snapshot_reply(), now);
+  if (delivered) {
+    raft_->SnapshotDelivered(message.from_node(), *delivered);
   }
 }
 
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -19,6 +19,7 @@
 #include "consensus/group_formation.h"
 #include "consensus/raft.h"
 #include "consensus/raft_storage.h"
+#include "consensus/snapshot_transfer.h"
 #include "ledger/ledger.h"
 #include "lots/blob_service.h"
 #include "membership/session_table.h"
@@ -62,19 +63,6 @@
     uint64_t term;
   };
 
-  struct SnapshotTransfer {
-    uint64_t index = 0;
-    uint64_t term = 0;
-    uint64_t offset = 0;
-    std::shared_ptr<const std::string> data;
-    TimePoint resend_at;
-  };
-
-  struct SnapshotReceipt {
-    uint64_t index = 0;
-    std::string data;
-  };
-
   Replica(const Settings& settings, FileSystem& files, PeerSender& sender,
           Metrics& metrics, Post post);
   Status OpenDisk(TimePoint now);
@@ -123,11 +111,13 @@
 
   void MaybeSnapshot(TimePoint now);
   void StartTransfers(const std::vector<std::string>& nodes, TimePoint now);
-  void SendSnapshotChunk(const std::string& node, SnapshotTransfer& transfer,
-                         TimePoint now);
+  void SendSnapshotChunks(TimePoint now);
+  OutgoingRaft SnapshotAnswer(const proto::RaftMessage& chunk,
+                              uint64_t next_offset) const;
   void OnSnapshotChunk(const proto::RaftMessage& message, TimePoint now);
   void OnSnapshotReply(const proto::RaftMessage& message, TimePoint now);
-  void InstallReceived(const proto::RaftMessage& message, TimePoint now);
+  void InstallReceived(const proto::RaftMessage& message,
+                       const std::string& data, TimePoint now);
   [[noreturn]] static void DiskFailed(const Error& error);
 
   const Settings& settings_;
@@ -157,8 +147,8 @@
   bool config_changed_ = false;
   bool snapshot_running_ = false;
   uint64_t snapshot_index_ = 0;
-  std::map<std::string, SnapshotTransfer> transfers_;
-  SnapshotReceipt receipt_;
+  SnapshotSender snapshot_sender_;
+  SnapshotReceiver snapshot_receiver_;
   TimePoint hello_due_;
   TimePoint expiry_due_;
   TimePoint reminder_due_;
--- a/src/consensus/snapshot_file.cc
+++ b/src/consensus/snapshot_file.cc
@@ -39,20 +39,7 @@
                                   const SnapshotMark& mark,
                                   const SnapshotSource& next_part) {
   const std::string name = SnapshotFileName(mark.index);
-  const std::string temporary = folder + "/" + name + ".tmp";
-  const auto names = files.List(folder);
-  if (!names) {
-    return tl::unexpected<Error>(names.error());
-  }
-  for (const std::string& existing : *names) {
-    if (existing == name + ".tmp") {
-      const Status removed = files.Remove(temporary);
-      if (!removed) {
-        return tl::unexpected<Error>(removed.error());
-      }
-    }
-  }
-  auto file = files.OpenAppend(temporary);
+  auto file = OpenTemporary(files, folder, name);
   if (!file) {
     return tl::unexpected<Error>(file.error());
   }
@@ -72,13 +59,8 @@
     }
   }
   AppendFrame(buffer, kEndFrame, end.SerializeAsString());
-  const Status finished =
-      (*file)
-          ->Append(buffer)
-          .and_then([&] { return (*file)->Sync(); })
-          .and_then(
-              [&] { return files.Rename(temporary, folder + "/" + name); })
-          .and_then([&] { return files.SyncFolder(folder); });
+  const Status finished = (*file)->Append(buffer).and_then(
+      [&] { return Publish(files, **file, folder, name); });
   if (!finished) {
     return tl::unexpected<Error>(finished.error());
   }
--- a/src/host/host.cc
+++ b/src/host/host.cc
@@ -15,16 +15,6 @@
 constexpr milliseconds kTick{20};
 constexpr seconds kReconcileInterval{1};
 
-std::vector<std::string> ReplicaHosts(const Settings& settings) {
-  std::vector<std::string> hosts;
-  for (const HostEntry& entry : settings.hosts) {
-    if (entry.replica) {
-      hosts.push_back(entry.host);
-    }
-  }
-  return hosts;
-}
-
 }  // namespace
 
 Host::Host(const Settings& settings)
@@ -56,7 +46,7 @@
   const auto post = [this](std::function<void()> task) {
     Post(std::move(task));
   };
-  leader_ = std::make_unique<LeaderClient>(*transport_, ReplicaHosts(settings_),
+  leader_ = std::make_unique<LeaderClient>(*transport_, settings_.replica_hosts(),
                                            Hash64(settings_.host));
   session_ = std::make_unique<SessionClient>(*transport_, *leader_, config_,
                                              incarnation_);
--- a/src/journal/file_system.cc
+++ b/src/journal/file_system.cc
@@ -13,6 +13,8 @@
 namespace sequoialb {
 namespace {
 
+constexpr char kTemporarySuffix[] = ".tmp";
+
 tl::unexpected<Error> IoFailure(const std::string& what,
                                 const std::string& path) {
   return Fail(ErrorCode::kIo, what + " " + path + ": " + std::strerror(errno));
@@ -143,29 +145,40 @@
   return std::make_unique<PosixFileSystem>();
 }
 
-Status WriteFileDurably(FileSystem& files, const std::string& folder,
-                        const std::string& name, std::string_view content) {
-  const std::string temporary = folder + "/" + name + ".tmp";
-  // A crash may have left an older temporary file; appending would extend it.
+Result<std::unique_ptr<AppendFile>> OpenTemporary(FileSystem& files,
+                                                  const std::string& folder,
+                                                  const std::string& name) {
+  const std::string temporary = name + kTemporarySuffix;
   const Result<std::vector<std::string>> names = files.List(folder);
   if (!names) {
     return tl::unexpected<Error>(names.error());
   }
-  if (std::find(names->begin(), names->end(), name + ".tmp") != names->end()) {
-    Status removed = files.Remove(temporary);
+  // Appending would extend what an earlier process left behind.
+  if (std::find(names->begin(), names->end(), temporary) != names->end()) {
+    const Status removed = files.Remove(folder + "/" + temporary);
     if (!removed) {
-      return removed;
+      return tl::unexpected<Error>(removed.error());
     }
   }
-  auto file = files.OpenAppend(temporary);
+  return files.OpenAppend(folder + "/" + temporary);
+}
+
+Status Publish(FileSystem& files, AppendFile& file, const std::string& folder,
+               const std::string& name) {
+  const std::string path = folder + "/" + name;
+  return file.Sync()
+      .and_then([&] { return files.Rename(path + kTemporarySuffix, path); })
+      .and_then([&] { return files.SyncFolder(folder); });
+}
+
+Status WriteFileDurably(FileSystem& files, const std::string& folder,
+                        const std::string& name, std::string_view content) {
+  auto file = OpenTemporary(files, folder, name);
   if (!file) {
     return tl::unexpected<Error>(file.error());
   }
-  return (*file)
-      ->Append(content)
-      .and_then([&] { return (*file)->Sync(); })
-      .and_then([&] { return files.Rename(temporary, folder + "/" + name); })
-      .and_then([&] { return files.SyncFolder(folder); });
+  return (*file)->Append(content).and_then(
+      [&] { return Publish(files, **file, folder, name); });
 }
 
 }  // namespace sequoialb
--- a/src/journal/file_system.h
+++ b/src/journal/file_system.h
@@ -41,6 +41,15 @@
 // Returns the file system of the operating system.
 std::unique_ptr<FileSystem> MakePosixFileSystem();
 
+// Opens the temporary file of `name`, empty, whatever a crash left behind.
+Result<std::unique_ptr<AppendFile>> OpenTemporary(FileSystem& files,
+                                                  const std::string& folder,
+                                                  const std::string& name);
+
+// Syncs a temporary file and gives it its name, durably.
+Status Publish(FileSystem& files, AppendFile& file, const std::string& folder,
+               const std::string& name);
+
 // Writes a whole file so that after a crash either the old or the new content
 // is there: temporary file, sync, rename, sync of the folder.
 Status WriteFileDurably(FileSystem& files, const std::string& folder,
--- a/src/lots/blob_service.cc
+++ b/src/lots/blob_service.cc
@@ -24,17 +24,12 @@
                          std::unique_ptr<BlobStore> store, PeerSender& sender,
                          Metrics& metrics, Post post)
     : settings_(settings),
+      replicas_(settings.replica_hosts()),
       store_(std::move(store)),
       sender_(sender),
       post_(std::move(post)),
       stored_bytes_(metrics.counter("sequoialb_blob_stored_bytes_total")),
-      disk_(std::make_unique<TaskThread>()) {
-  for (const HostEntry& entry : settings.hosts) {
-    if (entry.replica) {
-      replicas_.push_back(entry.host);
-    }
-  }
-}
+      disk_(std::make_unique<TaskThread>()) {}
 
 BlobService::~BlobService() { disk_.reset(); }
 
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -162,6 +162,16 @@
   return found == hosts.end() ? nullptr : &*found;
 }
 
+std::vector<std::string> Settings::replica_hosts() const {
+  std::vector<std::string> names;
+  for (const HostEntry& entry : hosts) {
+    if (entry.replica) {
+      names.push_back(entry.host);
+    }
+  }
+  return names;
+}
+
 const HostEntry& Settings::self() const {
   const HostEntry* entry = Find(host);
   SEQ_CHECK(entry != nullptr, "no entry for " << host);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -83,6 +83,8 @@
 
   // Returns the entry of this host itself.
   const HostEntry& self() const;
+  // Returns the hosts that keep the replicated state.
+  std::vector<std::string> replica_hosts() const;
   // Returns the entry of a host, or nullptr.
   const HostEntry* Find(const std::string& name) const;
 };
--- a/test/scenarios/runner.cc
+++ b/test/scenarios/runner.cc
@@ -30,7 +30,6 @@
 // Options of every call: at=HOST (also at=leader, at=follower), expect=CODE
 // (ok by default), run=not_run|ran|unknown. A host name may be "leader".
 // The first line that fails ends the scenario with its number.
-#include <docopt.h>
 #include <json/value.h>
 
 #include <algorithm>
@@ -47,6 +46,7 @@
 #include <thread>
 
 #include "base/hash.h"
+#include "client/arguments.h"
 #include "client/caller_client.h"
 #include "client/http_client.h"
 #include "fleet.h"
@@ -1263,7 +1263,7 @@
 
 int main(int argc, char** argv) {
   const auto arguments =
-      docopt::docopt(sequoialb::scenario::kUsage, {argv + 1, argv + argc});
+      sequoialb::ParseArguments(sequoialb::scenario::kUsage, argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   const auto work_option = arguments.at("--work");
   const std::string work =
