--- a/programs/sequoialb-load.cc
+++ b/programs/sequoialb-load.cc
@@ -252,8 +252,8 @@
     return 0;
   }
   std::sort(values.begin(), values.end());
-  const auto position =
-      static_cast<size_t>(q * static_cast<double>(values.size() - 1) + 0.5);
+  const auto position = static_cast<size_t>(
+      std::lround(q * static_cast<double>(values.size() - 1)));
   return values[position];
 }
 
--- a/programs/sequoialb.cc
+++ b/programs/sequoialb.cc
@@ -24,7 +24,7 @@
   sequoialb document (show | history) SERVICE [options]
   sequoialb document list [options]
   sequoialb key give ACCOUNT [options]
-  sequoialb key withdraw KEY_ID [options]
+  sequoialb key withdraw KEYID [options]
   sequoialb key list [options]
   sequoialb status [options]
   sequoialb hosts [options]
@@ -32,11 +32,11 @@
   sequoialb replicas [options]
   sequoialb replica replace HOST [--with=HOST] [options]
   sequoialb order BACKEND JSON [options]
-  sequoialb trace TRACE_ID [options]
+  sequoialb trace TRACE [options]
   sequoialb log-level LEVEL [options]
   sequoialb ask PROMPT --model=NAME [--idempotency-key=TEXT] [options]
   sequoialb batch send FILE [--window=TIME] [--idempotency-key=TEXT] [--wait] [options]
-  sequoialb batch (status | cancel | results) BATCH_ID [options]
+  sequoialb batch (status | cancel | results) BATCH [options]
   sequoialb batch list [options]
   sequoialb make-keys FOLDER
   sequoialb hash-token TOKEN
--- a/src/client/caller_commands.cc
+++ b/src/client/caller_commands.cc
@@ -66,7 +66,7 @@
     if (context_.Flag("send")) {
       return SendBatch();
     }
-    const std::string id = context_.Text("BATCH_ID");
+    const std::string id = context_.Text("BATCH");
     if (context_.Flag("list")) {
       return PrintCaller("GET", "/v1/batches");
     }
--- a/src/client/operator_commands.cc
+++ b/src/client/operator_commands.cc
@@ -239,8 +239,8 @@
       return kExitDone;
     }
     if (context_.Flag("withdraw")) {
-      return context_.Show("DELETE",
-                           "/admin/v1/keys/" + context_.Text("KEY_ID"), "");
+      return context_.Show("DELETE", "/admin/v1/keys/" + context_.Text("KEYID"),
+                           "");
     }
     const auto answer = context_.Admin("GET", "/admin/v1/keys", "");
     if (!answer) {
@@ -385,7 +385,7 @@
     std::vector<Json::Value> spans;
     for (const std::string& server : context_.servers()) {
       const auto value =
-          AskHost(server, "/admin/v1/traces/" + context_.Text("TRACE_ID"));
+          AskHost(server, "/admin/v1/traces/" + context_.Text("TRACE"));
       if (!value) {
         continue;
       }
--- a/src/requests/chat_runner.cc
+++ b/src/requests/chat_runner.cc
@@ -63,6 +63,15 @@
   }
 }
 
+Result<std::shared_ptr<SlotLease>> ChatRunner::BorrowTraced(
+    const ChatRun& run, Progress& progress) {
+  SpanScope span(host_.spans(), run.trace, "dispatch");
+  auto lease = Borrow(run, progress);
+  span.Set("outcome", lease ? (*lease)->backend().id()
+                            : std::string(ErrorName(lease.error().code)));
+  return lease;
+}
+
 // Takes bytes of an engine's event stream. Returns false at its end.
 bool ChatRunner::TakeBytes(const ChatRun& run, SseParser& parser,
                            uint64_t& counted, Progress& progress,
@@ -167,15 +176,13 @@
   Progress progress;
   budget_.Earn("account " + run.account);
   while (true) {
-    SpanScope wait_span(host_.spans(), run.trace, "dispatch");
-    auto lease = Borrow(run, progress);
+    auto lease = BorrowTraced(run, progress);
     if (!lease) {
       Error error = lease.error();
       error.run = progress.ran ? RunState::kRan : RunState::kNotRun;
       return tl::unexpected<Error>(error);
     }
     const proto::Backend& backend = (*lease)->backend();
-    wait_span.Set("backend", backend.id());
     budget_.Earn("backend " + backend.id());
     const AttemptResult result = Attempt(run, *lease, progress);
     const bool failed = result.end == AttemptEnd::kBroken ||
--- a/src/requests/chat_runner.h
+++ b/src/requests/chat_runner.h
@@ -69,6 +69,9 @@
 
   Result<std::shared_ptr<SlotLease>> Borrow(const ChatRun& run,
                                             Progress& progress);
+  // Borrow, as one hop of the trace.
+  Result<std::shared_ptr<SlotLease>> BorrowTraced(const ChatRun& run,
+                                                  Progress& progress);
   AttemptResult Attempt(const ChatRun& run,
                         const std::shared_ptr<SlotLease>& lease,
                         Progress& progress);
