Give nothing to a failed server until it is heard again

A server that has just died may still accept connections for the 1.5 s until its silence counts; innocent items given to it in that time broke like killers and reached their three attempts.

Ruled out: two suspects on one server (solo work excludes other batch work).

Change: after a failure a server is given nothing until an announcement has come since. New test AfterAFailureAServerMustBeHeardAgain. The breaker test announces between its failures now, which the rule requires.

--- a/src/dispatch/backend_table.cc
+++ b/src/dispatch/backend_table.cc
@@ -27,6 +27,7 @@
     state.failures = 0;
     state.openings = 0;
     state.open_until = TimePoint();
+    state.failed_at = TimePoint();
     state.foreign = 0;
     state.foreign_reports = 0;
     state.first_byte_ms = 0;
@@ -79,6 +80,7 @@
     }
     return;
   }
+  state->failed_at = now;
   // A refused connection needs no second opinion.
   state->failures += release.unreachable() ? options_.failures_to_open : 1;
   if (state->failures < options_.failures_to_open) {
@@ -94,7 +96,9 @@
   if (state.info.leaving() || now >= state.heard_at + options_.silence) {
     return false;
   }
-  if (now < state.open_until) {
+  // A server that has just died may still accept connections; work given to it
+  // would only fail again and be blamed for it.
+  if (now < state.open_until || state.heard_at <= state.failed_at) {
     return false;
   }
   // After a pause a single request probes the server.
--- a/src/dispatch/backend_table.h
+++ b/src/dispatch/backend_table.h
@@ -51,6 +51,8 @@
   uint32_t failures = 0;
   uint32_t openings = 0;
   TimePoint open_until;
+  // The last failure; nothing is given until the server is heard after it.
+  TimePoint failed_at;
   bool probing = false;
   double first_byte_ms = 0;
 
--- a/test/correctness/scheduler_test.cc
+++ b/test/correctness/scheduler_test.cc
@@ -144,11 +144,24 @@
   EXPECT_EQ(granted_.count(3), 1U);
 }
 
+TEST_F(SchedulerTest, AfterAFailureAServerMustBeHeardAgain) {
+  Announce("e1", 4);
+  Ask(1, true);
+  Release(1, true);
+  Ask(2, true);
+  EXPECT_EQ(granted_.count(2), 0U);
+  now_ += milliseconds(400);
+  Announce("e1", 4);
+  EXPECT_EQ(granted_.count(2), 1U);
+}
+
 TEST_F(SchedulerTest, ABreakerOpensAndProbesWithOneRequest) {
   Announce("e1", 4);
   for (uint64_t id = 1; id <= 3; ++id) {
     Ask(id, false);
     Release(id, true);
+    now_ += milliseconds(1);
+    Announce("e1", 4);
   }
   Ask(4, false);
   EXPECT_EQ(granted_.count(4), 0U);
