Print the lists of the command line by one function

Cause: document list, document history and key list each repeated the call, the JSON form and the table (found by reading the change for repetition).

Change: PrintList takes the path, the header and the row; behaviour stays.

--- a/src/client/operator_commands.cc
+++ b/src/client/operator_commands.cc
@@ -1,6 +1,7 @@
 #include "client/operator_commands.h"
 
 #include <algorithm>
+#include <functional>
 #include <iomanip>
 #include <map>
 #include <sstream>
@@ -102,8 +103,13 @@
                                  : Apply(document->service, *text);
   }
 
-  int ListDocuments() const {
-    const auto answer = context_.Admin("GET", "/admin/v1/documents", "");
+  // Prints a list that a host answers: as it is, or as a table with one row for
+  // each entry.
+  int PrintList(
+      const std::string& path, Table table,
+      const std::function<std::vector<std::string>(const Json::Value&)>& row)
+      const {
+    const auto answer = context_.Admin("GET", path, "");
     if (!answer) {
       return Report(answer.error());
     }
@@ -111,35 +117,34 @@
       std::cout << *answer << "\n";
       return kExitDone;
     }
-    Table table({"SERVICE", "VERSION", "BY"});
     for (const Json::Value& entry : CliContext::Parse(*answer)) {
-      table.Add({entry["service"].asString(), entry["version"].asString(),
-                 entry["author"].asString()});
+      table.Add(row(entry));
     }
     table.Print(std::cout);
     return kExitDone;
   }
 
+  int ListDocuments() const {
+    return PrintList("/admin/v1/documents", Table({"SERVICE", "VERSION", "BY"}),
+                     [](const Json::Value& entry) {
+                       return std::vector<std::string>{
+                           entry["service"].asString(),
+                           entry["version"].asString(),
+                           entry["author"].asString()};
+                     });
+  }
+
   int History() const {
-    const auto answer = context_.Admin(
-        "GET", "/admin/v1/documents/" + context_.Text("SERVICE") + "/history",
-        "");
-    if (!answer) {
-      return Report(answer.error());
-    }
-    if (context_.json()) {
-      std::cout << *answer << "\n";
-      return kExitDone;
-    }
-    Table table({"VERSION", "CHANGED (UNIX S)", "BY", "BYTES"});
-    for (const Json::Value& entry : CliContext::Parse(*answer)) {
-      table.Add({entry["version"].asString(),
-                 std::to_string(entry["changed_unix_ms"].asInt64() / 1000),
-                 entry["author"].asString(),
-                 std::to_string(entry["content"].asString().size())});
-    }
-    table.Print(std::cout);
-    return kExitDone;
+    return PrintList(
+        "/admin/v1/documents/" + context_.Text("SERVICE") + "/history",
+        Table({"VERSION", "CHANGED (UNIX S)", "BY", "BYTES"}),
+        [](const Json::Value& entry) {
+          return std::vector<std::string>{
+              entry["version"].asString(),
+              std::to_string(entry["changed_unix_ms"].asInt64() / 1000),
+              entry["author"].asString(),
+              std::to_string(entry["content"].asString().size())};
+        });
   }
 
   Result<std::string> BaseVersion(const std::string& service) const {
@@ -242,21 +247,13 @@
       return context_.Show("DELETE", "/admin/v1/keys/" + context_.Text("KEYID"),
                            "");
     }
-    const auto answer = context_.Admin("GET", "/admin/v1/keys", "");
-    if (!answer) {
-      return Report(answer.error());
-    }
-    if (context_.json()) {
-      std::cout << *answer << "\n";
-      return kExitDone;
-    }
-    Table table({"KEY ID", "CLIENT ACCOUNT", "STATE"});
-    for (const Json::Value& entry : CliContext::Parse(*answer)) {
-      table.Add({entry["key_id"].asString(), entry["account"].asString(),
-                 entry["withdrawn"].asBool() ? "withdrawn" : "valid"});
-    }
-    table.Print(std::cout);
-    return kExitDone;
+    return PrintList(
+        "/admin/v1/keys", Table({"KEY ID", "CLIENT ACCOUNT", "STATE"}),
+        [](const Json::Value& entry) {
+          return std::vector<std::string>{
+              entry["key_id"].asString(), entry["account"].asString(),
+              entry["withdrawn"].asBool() ? "withdrawn" : "valid"};
+        });
   }
 
   Result<Json::Value> AskHost(const std::string& server,
