--- /dev/null
+++ b/src/fleet/backend_registry.cc
@@ -0,0 +1,134 @@
+#include "fleet/backend_registry.h"
+
+#include <tuple>
+
+namespace sequoialb {
+namespace {
+
+// Five announcements of 1.2 s missed, and the second that one may be late.
+constexpr milliseconds kSilentAfter{7'000};
+// Records of the gone stay this long, so that late words of theirs stay dead.
+constexpr milliseconds kForgottenAfter{60'000};
+
+std::tuple<int64_t, uint64_t> Order(const proto::BackendRecord& record) {
+  return {record.started_unix_ms(), record.sequence()};
+}
+
+bool SameButSequence(const proto::BackendRecord& a,
+                     const proto::BackendRecord& b) {
+  return a.address() == b.address() && a.service() == b.service() &&
+         a.leaving() == b.leaving() && a.gone() == b.gone() &&
+         a.slots() == b.slots() && a.started_unix_ms() == b.started_unix_ms() &&
+         (a.cold_left_ms() > 0) == (b.cold_left_ms() > 0);
+}
+
+// Whether `next` replaces `held` as the word of one server.
+bool Supersedes(const proto::BackendRecord& next,
+                const proto::BackendRecord& held) {
+  if (next.started_unix_ms() == held.started_unix_ms() && held.gone()) {
+    return false;
+  }
+  return Order(next) > Order(held) ||
+         (Order(next) == Order(held) && next.gone() && !held.gone());
+}
+
+}  // namespace
+
+bool BackendRegistry::Announce(const proto::BackendRecord& record,
+                               TimePoint now) {
+  const auto found = entries_.find(record.id());
+  if (found == entries_.end()) {
+    entries_[record.id()] = {record, now, ++change_};
+    return true;
+  }
+  Entry& entry = found->second;
+  if (!Supersedes(record, entry.record)) {
+    return false;
+  }
+  const bool changed = !SameButSequence(entry.record, record);
+  entry = {record, now, ++change_};
+  return changed;
+}
+
+const proto::BackendRecord& BackendRegistry::Leave(const std::string& id,
+                                                   int64_t unix_ms,
+                                                   TimePoint now) {
+  Entry& entry = entries_[id];
+  if (entry.record.id().empty()) {
+    entry.record.set_id(id);
+    entry.record.set_started_unix_ms(unix_ms);
+  }
+  if (!entry.record.gone()) {
+    entry.record.set_gone(true);
+    entry.heard_at = now;
+    entry.change = ++change_;
+  }
+  return entry.record;
+}
+
+void BackendRegistry::FillChanges(uint64_t incarnation, uint64_t cursor,
+                                  proto::HelloReply& reply,
+                                  TimePoint now) const {
+  const uint64_t since = incarnation == incarnation_ ? cursor : 0;
+  reply.set_registry_incarnation(incarnation_);
+  reply.set_registry_cursor(change_);
+  for (const auto& [id, entry] : entries_) {
+    if (entry.change > since) {
+      proto::BackendRecord& record = *reply.add_backends();
+      record = entry.record;
+      record.set_heard_ms_ago(
+          static_cast<uint32_t>(RemainingMs(now, entry.heard_at)));
+    }
+  }
+}
+
+void BackendRegistry::Expire(TimePoint now) {
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    const bool old = now - it->second.heard_at > kForgottenAfter;
+    it = old ? entries_.erase(it) : std::next(it);
+  }
+}
+
+bool BackendDirectory::Merge(const proto::BackendRecord& record,
+                             TimePoint now) {
+  const TimePoint heard_at = now - milliseconds(record.heard_ms_ago());
+  const auto found = known_.find(record.id());
+  if (found == known_.end()) {
+    known_[record.id()] = {record, heard_at};
+    return true;
+  }
+  KnownBackend& held = found->second;
+  if (!Supersedes(record, held.record)) {
+    return false;
+  }
+  const bool changed = !SameButSequence(held.record, record);
+  held = {record, heard_at};
+  return changed;
+}
+
+std::vector<const KnownBackend*> BackendDirectory::Usable(
+    TimePoint now, bool silence_counts) const {
+  // An address belongs to the server that started there last.
+  std::map<std::string, int64_t> newest;
+  for (const auto& [id, known] : known_) {
+    int64_t& started = newest[known.record.address()];
+    started = std::max(started, known.record.started_unix_ms());
+  }
+  std::vector<const KnownBackend*> usable;
+  for (const auto& [id, known] : known_) {
+    const proto::BackendRecord& record = known.record;
+    const bool silent = silence_counts && now - known.heard_at > kSilentAfter;
+    if (!record.gone() && !record.leaving() && !silent &&
+        newest[record.address()] == record.started_unix_ms()) {
+      usable.push_back(&known);
+    }
+  }
+  return usable;
+}
+
+const KnownBackend* BackendDirectory::Find(const std::string& id) const {
+  const auto found = known_.find(id);
+  return found == known_.end() ? nullptr : &found->second;
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/fleet/control_protocol.h
@@ -0,0 +1,46 @@
+// What operators and backend servers ask of a control host, decoded. An adapter
+// for a platform implements it.
+#pragma once
+
+#include <string>
+#include <variant>
+
+#include "catalog/catalog.h"
+#include "http/message.h"
+#include "proto/fleet.pb.h"
+
+namespace sequoialb {
+
+struct PutCatalog {
+  uint64_t version = 0;
+  std::string content;
+};
+struct ReadCatalog {};
+struct AnnounceBackend {
+  proto::BackendRecord record;
+};
+struct BackendLeaves {
+  std::string id;
+};
+struct RetireHost {
+  std::string host;
+};
+struct AskRetired {
+  std::string host;
+};
+using ControlRequest = std::variant<PutCatalog, ReadCatalog, AnnounceBackend,
+                                    BackendLeaves, RetireHost, AskRetired>;
+
+class ControlProtocol {
+ public:
+  virtual ~ControlProtocol() = default;
+
+  // Fails with kNotFound for an unknown call, else with what is wrong with it.
+  virtual Result<ControlRequest> Decode(const RequestHead& head,
+                                        const std::string& body) const = 0;
+  // Decodes a stored catalog, without checking what CheckCatalog does.
+  virtual Result<Catalog> DecodeCatalog(const std::string& content) const = 0;
+  virtual std::string EncodeRetired(bool retired) const = 0;
+};
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/fleet/control_service.cc
@@ -0,0 +1,495 @@
+#include "fleet/control_service.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+#include "fleet/boot_clock.h"
+#include "fleet/rate_shares.h"
+#include "observe/log.h"
+
+namespace sequoialb {
+namespace {
+
+// Hosts unheard for this long leave the directory.
+constexpr milliseconds kHostForgottenAfter{30'000};
+// The set of store hosts must have been the same for this long before it
+// founds its group; all hosts start within 0.3 s of each other.
+constexpr milliseconds kStoresSettled{1'500};
+constexpr milliseconds kMaintainInterval{200};
+// An operator waits a second for an answer before it asks another host.
+constexpr milliseconds kCallTime{900};
+constexpr milliseconds kCallRetry{150};
+// Four greetings missed: the front's backend servers get another home.
+constexpr milliseconds kFrontLive{1'000};
+// A host that answered this recently counts as there when one is retired.
+constexpr milliseconds kHeardRecently{2'000};
+
+proto::ControlAnswer ErrorAnswer(const Error& error) {
+  proto::ControlAnswer answer;
+  answer.set_error_name(std::string(ErrorName(error.code)));
+  answer.set_detail(error.detail);
+  return answer;
+}
+
+proto::ControlAnswer OutcomeAnswer(const Status& outcome) {
+  return outcome ? proto::ControlAnswer() : ErrorAnswer(outcome.error());
+}
+
+}  // namespace
+
+ControlService::ControlService(ControlOptions options, HostLinks& links,
+                               Metrics& metrics)
+    : options_(std::move(options)),
+      links_(links),
+      registry_(options_.self.incarnation()),
+      hellos_(metrics.counter("sequoialb_hellos_total")),
+      announcements_(metrics.counter("sequoialb_announcements_total")) {}
+
+Result<std::unique_ptr<ControlService>> ControlService::Open(
+    ControlOptions options, FileSystem& files, HostLinks& links,
+    Metrics& metrics, TimePoint now) {
+  std::unique_ptr<ControlService> service(
+      new ControlService(std::move(options), links, metrics));
+  GroupOptions group;
+  group.name = "control";
+  group.host = service->options_.self.host();
+  group.folder = service->options_.data_folder + "/control";
+  group.most_voters = 2 * service->options_.tolerated_losses + 1;
+  auto opened = ConsensusGroup::Open(
+      group, files, service->state_, metrics,
+      [&links](const std::string& host, const proto::RaftMessage& message) {
+        proto::FleetMessage wrapped;
+        wrapped.mutable_group()->set_group("control");
+        *wrapped.mutable_group()->mutable_raft() = message;
+        links.Send(host, wrapped);
+      },
+      now);
+  if (!opened) {
+    return tl::unexpected<Error>(opened.error());
+  }
+  service->group_ = std::move(*opened);
+  const std::string own = service->options_.self.peer_address();
+  for (const Address& seed : service->options_.seeds) {
+    service->founder_ |= seed.ToString() == own;
+  }
+  service->founder_ = service->founder_ && service->options_.first_start &&
+                      service->group_->fresh_disk();
+  return service;
+}
+
+void ControlService::NoteHost(const proto::HostHello& hello, TimePoint now) {
+  HeardHost& heard = heard_[hello.info().host()];
+  if (hello.info().incarnation() < heard.info.incarnation()) {
+    return;
+  }
+  heard.info = hello.info();
+  heard.heard_at = now;
+  heard.demand.clear();
+  for (const proto::AccountDemand& demand : hello.demand()) {
+    heard.demand[demand.account()] = demand.per_s();
+  }
+}
+
+uint64_t ControlService::DirectoryHash() const {
+  std::string text;
+  for (const auto& [host, heard] : heard_) {
+    text += host + " " + heard.info.peer_address() + " " + heard.info.node() +
+            " " + std::to_string(heard.info.incarnation()) + " " +
+            heard.info.group().leader_host() + "\n";
+  }
+  return Hash64(text);
+}
+
+void ControlService::OnHello(const std::string& from,
+                             const proto::HostHello& hello, TimePoint now) {
+  hellos_.Add();
+  const auto address = ParseAddress(hello.info().peer_address());
+  if (!address || hello.info().host() != from) {
+    LogWarn("hello_refused", {{"from", from}});
+    return;
+  }
+  links_.Learn(from, *address);
+  NoteHost(hello, now);
+  proto::FleetMessage message;
+  FillReply(from, hello, *message.mutable_hello_reply(), now);
+  links_.Send(from, message);
+}
+
+void ControlService::FillReply(const std::string& from,
+                               const proto::HostHello& hello,
+                               proto::HelloReply& reply, TimePoint now) const {
+  reply.set_sent_at_us(hello.sent_at_us());
+  reply.set_leader_host(group_->leader_host());
+  reply.set_confirmed(group_->Confirmed(now));
+  reply.set_has_catalog(state_.has_catalog());
+  reply.set_catalog_version(state_.catalog_version());
+  if (state_.has_catalog() &&
+      (!hello.has_catalog() ||
+       hello.catalog_version() < state_.catalog_version())) {
+    reply.set_catalog(state_.catalog());
+  }
+  reply.set_directory_hash(DirectoryHash());
+  if (reply.directory_hash() != hello.directory_hash()) {
+    for (const auto& [host, heard] : heard_) {
+      *reply.add_hosts() = heard.info;
+    }
+  }
+  if (hello.wants_backends()) {
+    registry_.FillChanges(hello.registry_incarnation(), hello.registry_cursor(),
+                          reply, now);
+  }
+  if (!reply.confirmed()) {
+    return;
+  }
+  for (const std::string& node : state_.store_founders()) {
+    reply.add_store_founders(node);
+  }
+  for (const std::string& host : state_.retiring_hosts()) {
+    reply.add_retiring_hosts(host);
+  }
+  if (!hello.info().front()) {
+    return;
+  }
+  for (const auto& [host, heard] : heard_) {
+    if (heard.info.front() && !heard.info.leaving() &&
+        now - heard.heard_at < kFrontLive) {
+      proto::LiveFront& front = *reply.add_live_fronts();
+      front.set_host(host);
+      front.set_failure_domain(heard.info.failure_domain());
+    }
+  }
+  std::vector<HostDemand> demands;
+  for (const auto& [host, heard] : heard_) {
+    const bool may_act = now - heard.heard_at < 2 * options_.authority;
+    if (heard.info.front() && may_act) {
+      demands.push_back({host, heard.demand});
+    }
+  }
+  for (const auto& [account, share] : SharesOf(from, demands)) {
+    proto::AccountShare& entry = *reply.add_shares();
+    entry.set_account(account);
+    entry.set_share(share);
+  }
+}
+
+void ControlService::OnGroup(const proto::RaftMessage& message, TimePoint now) {
+  // A founder that has not founded yet would take a log without knowing who
+  // votes on it.
+  if (!founder_) {
+    group_->Receive(message, now);
+  }
+}
+
+// Founds the group once all seeds have said that their disks are new, and
+// adopts the founding of others that were quicker.
+void ControlService::MaybeFound(TimePoint now) {
+  std::vector<std::string> founders;
+  for (const Address& seed : options_.seeds) {
+    const auto found =
+        std::find_if(heard_.begin(), heard_.end(), [&](const auto& entry) {
+          return entry.second.info.peer_address() == seed.ToString();
+        });
+    if (found == heard_.end()) {
+      return;
+    }
+    const proto::HostInfo& info = found->second.info;
+    if (info.group().member()) {
+      const auto& voters = info.group().membership().voters();
+      const bool includes =
+          std::find(voters.begin(), voters.end(), node()) != voters.end();
+      founder_ = false;
+      if (includes) {
+        group_->Found({voters.begin(), voters.end()}, now);
+      }
+      return;
+    }
+    if (!info.first_start() || info.node().empty()) {
+      return;
+    }
+    founders.push_back(info.node());
+  }
+  std::sort(founders.begin(), founders.end());
+  founder_ = false;
+  group_->Found(founders, now);
+}
+
+std::map<std::string, GroupCandidate> ControlService::Candidates(
+    bool control) const {
+  std::map<std::string, GroupCandidate> candidates;
+  for (const auto& [host, heard] : heard_) {
+    const bool fits = control ? heard.info.control() : heard.info.store();
+    if (fits && !heard.info.node().empty()) {
+      candidates[host] = {heard.info.node(), heard.info.failure_domain(),
+                          heard.heard_at};
+    }
+  }
+  return candidates;
+}
+
+void ControlService::MaybeFoundStores(TimePoint now) {
+  const auto stores = Candidates(false);
+  if (stores.size() != stores_seen_) {
+    stores_seen_ = stores.size();
+    stores_changed_at_ = now;
+  }
+  if (stores.empty() || !state_.store_founders().empty() || stores_proposed_ ||
+      now < stores_changed_at_ + kStoresSettled || !group_->Confirmed(now)) {
+    return;
+  }
+  std::vector<GroupCandidate> fresh;
+  for (const auto& [host, candidate] : stores) {
+    if (heard_.at(host).info.first_start()) {
+      fresh.push_back(candidate);
+    }
+  }
+  proto::ControlCommand command;
+  for (const std::string& node :
+       PickFounders(fresh, 2 * options_.tolerated_losses + 1)) {
+    command.mutable_found_stores()->add_nodes(node);
+  }
+  stores_proposed_ = true;
+  group_->Propose(
+      command.SerializeAsString(), now, [this](const Status& outcome) {
+        stores_proposed_ = false;
+        LogInfo("stores_founded",
+                {{"outcome", outcome ? "committed" : outcome.error().detail}});
+      });
+}
+
+void ControlService::Tick(TimePoint now) {
+  group_->Tick(now);
+  if (founder_) {
+    MaybeFound(now);
+  }
+  for (auto it = heard_.begin(); it != heard_.end();) {
+    const bool old = now - it->second.heard_at > kHostForgottenAfter;
+    it = old ? heard_.erase(it) : std::next(it);
+  }
+  registry_.Expire(now);
+  RetryCalls(now);
+  if (group_->leads() && now >= maintain_at_) {
+    maintain_at_ = now + kMaintainInterval;
+    group_->MaintainMembership(Candidates(true), {}, now);
+    MaybeFoundStores(now);
+  }
+}
+
+void ControlService::Flush(TimePoint now) { group_->Flush(now); }
+
+void ControlService::Announce(const proto::BackendRecord& record,
+                              TimePoint now) {
+  announcements_.Add();
+  if (registry_.Announce(record, now)) {
+    ForwardBackend(record);
+  }
+}
+
+void ControlService::BackendGone(const std::string& id, TimePoint now) {
+  announcements_.Add();
+  ForwardBackend(registry_.Leave(id, UnixMs(), now));
+}
+
+void ControlService::OnBackend(const proto::BackendRecord& record,
+                               TimePoint now) {
+  registry_.Announce(record, now);
+}
+
+// This host may be lost right after it has acknowledged, so the others hear a
+// change as well.
+void ControlService::ForwardBackend(const proto::BackendRecord& record) {
+  proto::FleetMessage message;
+  *message.mutable_backend() = record;
+  for (const auto& [host, heard] : heard_) {
+    if (heard.info.control() && host != options_.self.host()) {
+      links_.Send(host, message);
+    }
+  }
+}
+
+void ControlService::Call(proto::ControlCall call, TimePoint now,
+                          CallDone done) {
+  const uint64_t number = next_call_++;
+  call.set_call(number);
+  calls_[number] = {std::move(call), std::move(done), now + kCallTime, now};
+  RetryCalls(now);
+}
+
+void ControlService::RetryCalls(TimePoint now) {
+  std::vector<uint64_t> expired;
+  std::vector<uint64_t> due;
+  for (const auto& [number, pending] : calls_) {
+    if (now >= pending.deadline) {
+      expired.push_back(number);
+    } else if (now >= pending.send_at) {
+      due.push_back(number);
+    }
+  }
+  for (const uint64_t number : expired) {
+    proto::ControlAnswer answer = ErrorAnswer(
+        {ErrorCode::kNoQuorum, "no leader has confirmed the call in time"});
+    FinishCall(number, answer);
+  }
+  for (const uint64_t number : due) {
+    PendingCall& pending = calls_[number];
+    pending.send_at = now + kCallRetry;
+    if (group_->leads()) {
+      // Once is enough: the outcome comes when the entry is committed.
+      pending.send_at = pending.deadline;
+      Lead(pending.call, now,
+           [this, number](const proto::ControlAnswer& answer) {
+             OnOwnAnswer(number, answer);
+           });
+      continue;
+    }
+    const std::string leader = group_->leader_host();
+    if (!leader.empty() && leader != options_.self.host()) {
+      proto::FleetMessage message;
+      *message.mutable_control_call() = pending.call;
+      links_.Send(leader, message);
+    }
+  }
+}
+
+void ControlService::FinishCall(uint64_t call,
+                                const proto::ControlAnswer& answer) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) {
+    return;
+  }
+  const CallDone done = std::move(found->second.done);
+  calls_.erase(found);
+  done(answer);
+}
+
+void ControlService::OnAnswer(const proto::ControlAnswer& answer) {
+  OnOwnAnswer(answer.call(), answer);
+}
+
+// A call that met no leader is tried again until its time is up.
+void ControlService::OnOwnAnswer(uint64_t call,
+                                 const proto::ControlAnswer& answer) {
+  if (answer.error_name() != ErrorName(ErrorCode::kNoQuorum)) {
+    FinishCall(call, answer);
+    return;
+  }
+  const auto found = calls_.find(call);
+  if (found != calls_.end()) {
+    found->second.send_at =
+        std::min(found->second.send_at, BootNow() + kCallRetry);
+  }
+}
+
+void ControlService::OnCall(const std::string& from,
+                            const proto::ControlCall& call, TimePoint now) {
+  Lead(call, now,
+       [this, from, number = call.call()](proto::ControlAnswer answer) {
+         answer.set_call(number);
+         proto::FleetMessage message;
+         *message.mutable_control_answer() = std::move(answer);
+         links_.Send(from, message);
+       });
+}
+
+void ControlService::Lead(const proto::ControlCall& call, TimePoint now,
+                          const Reply& reply) {
+  if (!group_->Confirmed(now)) {
+    reply(ErrorAnswer({ErrorCode::kNoQuorum, "this host does not lead"}));
+    return;
+  }
+  switch (call.kind_case()) {
+    case proto::ControlCall::kPutCatalog: {
+      proto::ControlCommand command;
+      *command.mutable_put_catalog() = call.put_catalog();
+      group_->Propose(
+          command.SerializeAsString(), now,
+          [reply](const Status& outcome) { reply(OutcomeAnswer(outcome)); });
+      return;
+    }
+    case proto::ControlCall::kReadCatalog: {
+      proto::ControlAnswer answer;
+      if (state_.has_catalog()) {
+        answer.set_catalog(state_.catalog());
+      } else {
+        answer = ErrorAnswer({ErrorCode::kStaleConfig, "no catalog yet"});
+      }
+      reply(answer);
+      return;
+    }
+    case proto::ControlCall::kRetireHost:
+      Retire(call.retire_host(), now, reply);
+      return;
+    case proto::ControlCall::kRetireStatus: {
+      proto::ControlAnswer answer;
+      if (state_.retiring_hosts().count(call.retire_status()) == 0) {
+        answer = ErrorAnswer({ErrorCode::kNotFound, "not being emptied"});
+      } else {
+        answer.set_retired(Retired(call.retire_status(), now));
+      }
+      reply(answer);
+      return;
+    }
+    default:
+      reply(ErrorAnswer({ErrorCode::kMalformed, "an unknown call"}));
+  }
+}
+
+size_t ControlService::StoresLeftWithout(const std::string& host,
+                                         TimePoint now) const {
+  return static_cast<size_t>(
+      std::count_if(heard_.begin(), heard_.end(), [&](const auto& entry) {
+        const HeardHost& heard = entry.second;
+        return heard.info.store() && entry.first != host &&
+               now - heard.heard_at < kHeardRecently &&
+               state_.retiring_hosts().count(entry.first) == 0;
+      }));
+}
+
+void ControlService::Retire(const std::string& host, TimePoint now,
+                            const Reply& reply) {
+  if (state_.retiring_hosts().count(host) > 0) {
+    reply(proto::ControlAnswer());
+    return;
+  }
+  const auto found = heard_.find(host);
+  if (found == heard_.end() || !found->second.info.store()) {
+    reply(ErrorAnswer({ErrorCode::kNotFound, "no store host " + host}));
+    return;
+  }
+  const size_t left = StoresLeftWithout(host, now);
+  if (left < 2 * options_.tolerated_losses + 1) {
+    reply(ErrorAnswer({ErrorCode::kConflict,
+                       std::to_string(left) +
+                           " store hosts would be left, too few to bear a "
+                           "loss"}));
+    return;
+  }
+  proto::ControlCommand command;
+  command.mutable_retire_host()->set_host(host);
+  group_->Propose(
+      command.SerializeAsString(), now,
+      [reply](const Status& outcome) { reply(OutcomeAnswer(outcome)); });
+}
+
+// A host is empty once the store group's leader counts on it no more and has a
+// full set of voters without it.
+bool ControlService::Retired(const std::string& host, TimePoint now) const {
+  for (const auto& [name, heard] : heard_) {
+    const proto::GroupStatus& group = heard.info.group();
+    const bool speaks = heard.info.store() && group.leads() &&
+                        now - heard.heard_at < kHeardRecently;
+    if (!speaks || !group.settled() || name == host) {
+      continue;
+    }
+    const auto names_host = [&](const std::string& node) {
+      return node.substr(0, node.find('@')) == host;
+    };
+    const auto& voters = group.membership().voters();
+    const auto& learners = group.membership().learners();
+    return std::none_of(voters.begin(), voters.end(), names_host) &&
+           std::none_of(learners.begin(), learners.end(), names_host) &&
+           voters.size() >= static_cast<int>(2 * options_.tolerated_losses + 1);
+  }
+  return false;
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/fleet/control_state.cc
@@ -0,0 +1,59 @@
+#include "fleet/control_state.h"
+
+#include "observe/log.h"
+
+namespace sequoialb {
+
+Status ControlState::Apply(const std::string& command) {
+  proto::ControlCommand parsed;
+  if (!parsed.ParseFromString(command)) {
+    return Fail(ErrorCode::kCorrupt, "a command of the log cannot be read");
+  }
+  if (parsed.has_put_catalog()) {
+    const auto& put = parsed.put_catalog();
+    if (!has_catalog_ || put.version() > catalog_version_) {
+      has_catalog_ = true;
+      catalog_version_ = put.version();
+      catalog_ = put.content();
+      LogInfo("catalog_committed",
+              {{"version", std::to_string(catalog_version_)}});
+    }
+  } else if (parsed.has_found_stores() && store_founders_.empty()) {
+    store_founders_.assign(parsed.found_stores().nodes().begin(),
+                           parsed.found_stores().nodes().end());
+  } else if (parsed.has_retire_host()) {
+    retiring_hosts_.insert(parsed.retire_host().host());
+  }
+  return {};
+}
+
+std::string ControlState::Save() const {
+  proto::ControlSnapshot saved;
+  saved.set_has_catalog(has_catalog_);
+  saved.set_catalog_version(catalog_version_);
+  saved.set_catalog(catalog_);
+  for (const std::string& node : store_founders_) {
+    saved.add_store_founders(node);
+  }
+  for (const std::string& host : retiring_hosts_) {
+    saved.add_retiring_hosts(host);
+  }
+  return saved.SerializeAsString();
+}
+
+Status ControlState::Load(const std::string& saved) {
+  proto::ControlSnapshot parsed;
+  if (!parsed.ParseFromString(saved)) {
+    return Fail(ErrorCode::kCorrupt, "the control state cannot be read");
+  }
+  has_catalog_ = parsed.has_catalog();
+  catalog_version_ = parsed.catalog_version();
+  catalog_ = parsed.catalog();
+  store_founders_.assign(parsed.store_founders().begin(),
+                         parsed.store_founders().end());
+  retiring_hosts_ = {parsed.retiring_hosts().begin(),
+                     parsed.retiring_hosts().end()};
+  return {};
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/fleet/fleet_host.cc
@@ -0,0 +1,617 @@
+#include "fleet/fleet_host.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+#include "base/hash.h"
+#include "fleet/boot_clock.h"
+#include "observe/log.h"
+
+namespace sequoialb {
+namespace {
+
+constexpr milliseconds kControlTick{20};
+constexpr milliseconds kItemReportInterval{100};
+constexpr milliseconds kPublishInterval{250};
+// Authority ends this much before a withdrawn key must have stopped working:
+// the time that a request may take on its way to a backend server.
+constexpr milliseconds kWithdrawalMargin{1'000};
+// The balancer asks once a second and believes two misses.
+constexpr milliseconds kNotReadyTime{2'500};
+// Left of the grace for the end of the process itself.
+constexpr milliseconds kEndMargin{700};
+constexpr milliseconds kDrainPoll{50};
+constexpr milliseconds kHandOver{400};
+constexpr size_t kOperatorBodyBytes = 8U << 20U;
+
+HttpServerLimits LimitsOf(const CallerLimits& limits) {
+  return {limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout,
+          limits.idle_timeout};
+}
+
+}  // namespace
+
+FleetHost::FleetHost(const FleetSettings& settings,
+                     const GatewayProtocol& gateway,
+                     const ControlProtocol& control)
+    : settings_(settings),
+      gateway_protocol_(gateway),
+      control_protocol_(control),
+      incarnation_(static_cast<uint64_t>(UnixMs())),
+      files_(MakePosixFileSystem()),
+      wake_fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
+
+Result<std::unique_ptr<FleetHost>> FleetHost::Start(
+    const FleetSettings& settings, const GatewayProtocol& gateway,
+    const ControlProtocol& control) {
+  std::unique_ptr<FleetHost> host(new FleetHost(settings, gateway, control));
+  const Status opened = host->Open();
+  if (!opened) {
+    return tl::unexpected<Error>(opened.error());
+  }
+  FleetHost* raw = host.get();
+  host->control_thread_ = std::thread([raw] { raw->RunControl(); });
+  host->traffic_thread_ = std::thread([raw] { raw->loop_.Run(); });
+  return host;
+}
+
+proto::HostInfo FleetHost::Describe() const {
+  proto::HostInfo info;
+  info.set_host(settings_.host);
+  info.set_failure_domain(settings_.failure_domain);
+  info.set_peer_address(settings_.peer.ToString());
+  info.set_control(settings_.control.has_value());
+  info.set_control_address(settings_.control ? settings_.control->ToString()
+                                             : "");
+  info.set_store(settings_.store);
+  info.set_front(settings_.front.has_value());
+  info.set_first_start(settings_.first_start);
+  info.set_incarnation(incarnation_);
+  return info;
+}
+
+Status FleetHost::Open() {
+  auto links = HostLinks::Open(Describe(), metrics_);
+  if (!links) {
+    return tl::unexpected<Error>(links.error());
+  }
+  links_ = std::move(*links);
+  const Status duties = OpenDuties();
+  if (!duties) {
+    return duties;
+  }
+  return OpenListeners();
+}
+
+Status FleetHost::OpenDuties() {
+  const TimePoint now = BootNow();
+  const milliseconds authority = settings_.withdrawal - kWithdrawalMargin;
+  if (settings_.control) {
+    ControlOptions options;
+    options.self = Describe();
+    options.data_folder = settings_.data_folder;
+    options.seeds = settings_.seed_peers();
+    options.first_start = settings_.first_start;
+    options.tolerated_losses = settings_.tolerated_losses;
+    options.authority = authority;
+    auto control =
+        ControlService::Open(options, *files_, *links_, metrics_, now);
+    if (!control) {
+      return tl::unexpected<Error>(control.error());
+    }
+    control_ = std::move(*control);
+  }
+  if (settings_.store) {
+    auto store = StoreService::Open(Describe(), settings_.data_folder,
+                                    settings_.tolerated_losses, *files_,
+                                    *links_, metrics_, now);
+    if (!store) {
+      return tl::unexpected<Error>(store.error());
+    }
+    store_ = std::move(*store);
+  }
+  MemberOptions options;
+  options.self = Describe();
+  options.seeds = settings_.seed_peers();
+  options.authority = authority;
+  options.wants_backends = settings_.front.has_value();
+  member_ = std::make_unique<FleetMember>(options, *links_, MemberCallbacks());
+  if (settings_.front) {
+    jobs_ = std::make_unique<JobClient>(*links_, *member_);
+    front_ = std::make_unique<FrontShared>(loop_, metrics_, gateway_protocol_);
+    items_ = std::make_unique<ItemRunner>(
+        *front_, incarnation_, [this](const proto::ItemOutcome& outcome) {
+          PostControl(
+              [this, outcome] { jobs_->AddOutcome(outcome, BootNow()); });
+          PumpSoon();
+        });
+    job_entry_ = std::make_unique<JobEntry>(
+        *front_, [this](proto::JobCall call, TimePoint deadline,
+                        const JobEntry::Done& done) {
+          const auto left = deadline - loop_.now();
+          PostControl([this, call = std::move(call), left, done] {
+            const TimePoint start = BootNow();
+            jobs_->Call(call, start + left, start,
+                        [this, done](const proto::JobAnswer& answer) {
+                          loop_.Post([done, answer] { done(answer); });
+                        });
+          });
+        });
+    Gateway::Hooks hooks;
+    hooks.stop_item = [this](const std::string& backend) {
+      return items_->StopOneAt(backend);
+    };
+    hooks.slot_freed = [this] { PumpSoon(); };
+    hooks.submit_job = [this](const std::shared_ptr<HttpExchange>& exchange,
+                              const Route& route, const Account& account) {
+      job_entry_->Submit(exchange, route, account);
+    };
+    gateway_ = std::make_unique<Gateway>(*front_, std::move(hooks));
+    loop_.RunAt(loop_.now() + kItemReportInterval, [this] { ReportItems(); });
+  }
+  return {};
+}
+
+Status FleetHost::OpenListeners() {
+  const auto open = [this](const std::optional<Address>& address,
+                           HttpServerLimits limits, HttpHandler handler,
+                           std::unique_ptr<HttpServer>& server) -> Status {
+    if (!address) {
+      return {};
+    }
+    auto opened =
+        HttpServer::Open(loop_, *address, limits, std::move(handler), metrics_);
+    if (!opened) {
+      return tl::unexpected<Error>(opened.error());
+    }
+    server = std::move(*opened);
+    return {};
+  };
+  HttpServerLimits operator_limits;
+  operator_limits.max_body_bytes = kOperatorBodyBytes;
+  Status status = open(
+      settings_.front, {}, [this](const auto& e) { OnFrontRequest(e); },
+      front_server_);
+  if (status) {
+    status = open(
+        settings_.ready, {}, [this](const auto& e) { OnReadyRequest(e); },
+        ready_server_);
+  }
+  if (status) {
+    status = open(
+        settings_.control, operator_limits,
+        [this](const auto& e) { OnControlRequest(e); }, control_server_);
+  }
+  if (status) {
+    status = open(
+        settings_.metrics, {},
+        [this](const std::shared_ptr<HttpExchange>& exchange) {
+          HttpHeaders headers;
+          headers.Add("Content-Type", "text/plain; version=0.0.4");
+          exchange->Respond(200, headers, metrics_.Render());
+        },
+        metrics_server_);
+  }
+  return status;
+}
+
+FleetMember::Callbacks FleetHost::MemberCallbacks() {
+  FleetMember::Callbacks callbacks;
+  callbacks.on_catalog = [this](uint64_t version, const std::string& content) {
+    return TakeCatalog(version, content);
+  };
+  callbacks.on_authority = [this](TimePoint until) {
+    loop_.Post([this, until] {
+      if (front_ != nullptr) {
+        front_->view.authority_until = until;
+      }
+    });
+  };
+  callbacks.on_backends = [this] { PublishBackends(BootNow()); };
+  callbacks.on_shares = [this](const std::map<std::string, double>& shares) {
+    const auto fronts = member_->last_confirmed().live_fronts_size();
+    loop_.Post([this, shares, fronts] {
+      if (front_ != nullptr) {
+        front_->limiter.SetShares(shares, 1.0 / std::max(1, fronts));
+      }
+    });
+  };
+  callbacks.fill_hello = [this](proto::HostHello& hello) { FillHello(hello); };
+  return callbacks;
+}
+
+bool FleetHost::TakeCatalog(uint64_t version, const std::string& content) {
+  if (!settings_.front) {
+    return true;
+  }
+  auto catalog = control_protocol_.DecodeCatalog(content);
+  if (!catalog) {
+    LogError("catalog_unreadable", {{"version", std::to_string(version)},
+                                    {"reason", catalog.error().detail}});
+    return false;
+  }
+  LogInfo("catalog_taken",
+          {{"version", std::to_string(version)},
+           {"routes", std::to_string(catalog->routes.size())},
+           {"accounts", std::to_string(catalog->accounts.size())}});
+  auto index = std::make_shared<const CatalogIndex>(std::move(*catalog));
+  loop_.Post([this, index] {
+    front_->view.catalog = index;
+    front_server_->SetLimits(LimitsOf(index->catalog().limits));
+  });
+  PublishBackends(BootNow());
+  return true;
+}
+
+void FleetHost::FillHello(proto::HostHello& hello) {
+  proto::HostInfo& info = *hello.mutable_info();
+  if (control_ != nullptr) {
+    info.set_node(control_->node());
+    *info.mutable_group() = control_->status();
+  } else if (store_ != nullptr) {
+    info.set_node(store_->node());
+    *info.mutable_group() = store_->status();
+  }
+  for (const auto& [account, per_s] : demand_) {
+    proto::AccountDemand& demand = *hello.add_demand();
+    demand.set_account(account);
+    demand.set_per_s(per_s);
+  }
+}
+
+// Tells the traffic thread which servers take work, and which of them have this
+// front as their home: a domain's servers are dealt out among its fronts.
+void FleetHost::PublishBackends(TimePoint now) {
+  if (front_ == nullptr || member_ == nullptr) {
+    return;
+  }
+  std::map<std::string, std::vector<std::string>> fronts;
+  std::vector<std::string> all;
+  for (const auto& front : member_->last_confirmed().live_fronts()) {
+    fronts[front.failure_domain()].push_back(front.host());
+    all.push_back(front.host());
+  }
+  std::vector<UsableBackend> usable;
+  std::map<std::string, size_t> dealt;
+  for (const KnownBackend* known :
+       member_->backends().Usable(now, member_->InContact(now))) {
+    const proto::BackendRecord& record = known->record;
+    const auto address = ParseAddress(record.address());
+    if (!address || record.slots() == 0) {
+      continue;
+    }
+    const auto own = fronts.find(record.failure_domain());
+    const std::vector<std::string>& homes =
+        own == fronts.end() ? all : own->second;
+    const size_t turn = dealt[record.failure_domain()]++;
+    UsableBackend backend;
+    backend.id = record.id();
+    backend.service = record.service();
+    backend.address = *address;
+    backend.own_domain = record.failure_domain() == settings_.failure_domain;
+    backend.home =
+        !homes.empty() && homes[turn % homes.size()] == settings_.host;
+    backend.slots = record.slots();
+    backend.cold = record.cold_left_ms() > 0;
+    usable.push_back(std::move(backend));
+  }
+  loop_.Post([this, usable] {
+    front_->pool.SetUsable(usable);
+    PumpSoon();
+  });
+}
+
+void FleetHost::PostControl(std::function<void()> task) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    posted_.push_back(std::move(task));
+  }
+  const uint64_t one = 1;
+  [[maybe_unused]] const ssize_t written = ::write(wake_fd_, &one, sizeof(one));
+}
+
+void FleetHost::RunPosted() {
+  uint64_t ignored = 0;
+  [[maybe_unused]] const ssize_t read =
+      ::read(wake_fd_, &ignored, sizeof(ignored));
+  std::vector<std::function<void()>> tasks;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    tasks.swap(posted_);
+  }
+  for (const std::function<void()>& task : tasks) {
+    task();
+  }
+}
+
+void FleetHost::RunControl() {
+  TimePoint tick_due = BootNow();
+  while (!stopping_) {
+    std::vector<zmq::pollitem_t> items;
+    items.push_back({nullptr, wake_fd_, ZMQ_POLLIN, 0});
+    links_->AddPollItems(items);
+    const int64_t wait_ms =
+        links_->HasLocal() ? 0 : RemainingMs(tick_due, BootNow()) + 1;
+    zmq::poll(items, milliseconds(wait_ms));
+    const TimePoint now = BootNow();
+    // Timers first: after a pause they end what must not be acted on any more.
+    if (now >= tick_due) {
+      tick_due = now + kControlTick;
+      TickControl(now);
+    }
+    links_->Drain(
+        [this](const std::string& from, const proto::FleetMessage& message) {
+          Handle(from, message);
+        });
+    if ((items[0].revents & ZMQ_POLLIN) != 0) {
+      RunPosted();
+    }
+    if (control_ != nullptr) {
+      control_->Flush(BootNow());
+    }
+    if (store_ != nullptr) {
+      store_->Flush(BootNow());
+    }
+  }
+}
+
+void FleetHost::TickControl(TimePoint now) {
+  member_->Tick(now);
+  if (control_ != nullptr) {
+    control_->Tick(now);
+  }
+  if (store_ != nullptr) {
+    store_->OnFleet(member_->hosts(), member_->last_confirmed(), now);
+    store_->Tick(now);
+  }
+  if (jobs_ != nullptr) {
+    jobs_->Tick(now);
+  }
+}
+
+void FleetHost::Handle(const std::string& from,
+                       const proto::FleetMessage& message) {
+  // Read after the message has arrived: what is confirmed from here on was so
+  // when its sender sent it.
+  const TimePoint now = BootNow();
+  switch (message.kind_case()) {
+    case proto::FleetMessage::kHelloReply:
+      member_->OnReply(from, message.hello_reply(), now);
+      return;
+    case proto::FleetMessage::kHello:
+      if (control_ != nullptr) {
+        control_->OnHello(from, message.hello(), now);
+      }
+      return;
+    case proto::FleetMessage::kGroup:
+      if (control_ != nullptr && message.group().group() == "control") {
+        control_->OnGroup(message.group().raft(), now);
+      } else if (store_ != nullptr && message.group().group() == "store") {
+        store_->OnGroup(message.group().raft(), now);
+      }
+      return;
+    case proto::FleetMessage::kControlCall:
+      if (control_ != nullptr) {
+        control_->OnCall(from, message.control_call(), now);
+      }
+      return;
+    case proto::FleetMessage::kControlAnswer:
+      if (control_ != nullptr) {
+        control_->OnAnswer(message.control_answer());
+      }
+      return;
+    case proto::FleetMessage::kBackend:
+      if (control_ != nullptr) {
+        control_->OnBackend(message.backend(), now);
+      }
+      return;
+    case proto::FleetMessage::kJobCall:
+      if (store_ != nullptr) {
+        store_->OnCall(from, message.job_call(), now);
+      }
+      return;
+    case proto::FleetMessage::kItemReport:
+      if (store_ != nullptr) {
+        store_->OnReport(from, message.item_report(), now);
+      }
+      return;
+    case proto::FleetMessage::kItemOutcome:
+      if (store_ != nullptr) {
+        store_->OnOutcome(from, message.item_outcome(), now);
+      }
+      return;
+    case proto::FleetMessage::kJobAnswer:
+      if (jobs_ != nullptr) {
+        jobs_->OnAnswer(message.job_answer(), now);
+      }
+      return;
+    case proto::FleetMessage::kItemOffers:
+      if (jobs_ != nullptr) {
+        jobs_->OnOffers(from, message.item_offers());
+        loop_.Post([this, offers = message.item_offers()] {
+          for (const proto::ItemName& name : offers.stop()) {
+            items_->Stop(name);
+          }
+          for (const proto::ItemOffer& offer : offers.offers()) {
+            items_->Take(offer);
+          }
+        });
+      }
+      return;
+    case proto::FleetMessage::kItemTaken:
+      if (jobs_ != nullptr) {
+        jobs_->OnTaken(message.item_taken());
+      }
+      return;
+    default:
+      LogWarn("message_of_unknown_kind", {{"from", from}});
+  }
+}
+
+void FleetHost::PumpSoon() {
+  if (pump_armed_) {
+    return;
+  }
+  pump_armed_ = true;
+  loop_.RunAt(loop_.now(), [this] {
+    pump_armed_ = false;
+    gateway_->Pump();
+    items_->Pump();
+  });
+}
+
+void FleetHost::ReportItems() {
+  loop_.RunAt(loop_.now() + kItemReportInterval, [this] { ReportItems(); });
+  items_->Pump();
+  busy_ = front_server_->busy();
+  proto::ItemReport report;
+  items_->Report(report);
+  const TimePoint now = loop_.now();
+  PostControl([this, report, demand = front_->limiter.Demand(now)] {
+    const TimePoint boot_now = BootNow();
+    demand_ = demand;
+    jobs_->SendReport(report, boot_now);
+    PublishBackends(boot_now);
+  });
+}
+
+void FleetHost::OnFrontRequest(const std::shared_ptr<HttpExchange>& exchange) {
+  const auto job = gateway_protocol_.DecodeJobRequest(exchange->head());
+  if (job) {
+    job_entry_->OnRequest(exchange, *job);
+    return;
+  }
+  gateway_->OnRequest(exchange);
+}
+
+void FleetHost::OnReadyRequest(const std::shared_ptr<HttpExchange>& exchange) {
+  const bool ready = front_->view.has_authority() && !front_->view.draining;
+  exchange->Respond(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n");
+}
+
+void FleetHost::OnControlRequest(
+    const std::shared_ptr<HttpExchange>& exchange) {
+  auto request = control_protocol_.Decode(exchange->head(), exchange->body());
+  if (!request) {
+    LogInfo("control_call_refused",
+            {{"target", exchange->head().target},
+             {"error", std::string(ErrorName(request.error().code))},
+             {"detail", request.error().detail}});
+    exchange->Respond(HttpStatus(request.error().code), {},
+                      request.error().detail + "\n");
+    return;
+  }
+  HttpHeaders json;
+  json.Add("Content-Type", "application/json");
+  if (auto* announce = std::get_if<AnnounceBackend>(&*request)) {
+    PostControl([this, exchange, json, record = announce->record] {
+      control_->Announce(record, BootNow());
+      loop_.Post([exchange, json] { exchange->Respond(200, json, "{}"); });
+    });
+    return;
+  }
+  if (auto* leaves = std::get_if<BackendLeaves>(&*request)) {
+    PostControl([this, exchange, json, id = leaves->id] {
+      control_->BackendGone(id, BootNow());
+      loop_.Post([exchange, json] { exchange->Respond(200, json, "{}"); });
+    });
+    return;
+  }
+  proto::ControlCall call;
+  bool retire_status = false;
+  if (auto* put = std::get_if<PutCatalog>(&*request)) {
+    call.mutable_put_catalog()->set_version(put->version);
+    call.mutable_put_catalog()->set_content(std::move(put->content));
+  } else if (std::holds_alternative<ReadCatalog>(*request)) {
+    call.set_read_catalog(true);
+  } else if (auto* retire = std::get_if<RetireHost>(&*request)) {
+    call.set_retire_host(retire->host);
+  } else {
+    call.set_retire_status(std::get<AskRetired>(*request).host);
+    retire_status = true;
+  }
+  PassControlCall(exchange, std::move(call), retire_status);
+}
+
+void FleetHost::PassControlCall(const std::shared_ptr<HttpExchange>& exchange,
+                                proto::ControlCall call, bool retire_status) {
+  const auto done = [this, exchange,
+                     retire_status](const proto::ControlAnswer& answer) {
+    loop_.Post([this, exchange, answer, retire_status] {
+      HttpHeaders json;
+      json.Add("Content-Type", "application/json");
+      if (!answer.error_name().empty()) {
+        LogInfo("control_call_failed", {{"target", exchange->head().target},
+                                        {"error", answer.error_name()},
+                                        {"detail", answer.detail()}});
+        exchange->Respond(HttpStatus(ErrorCodeFromName(answer.error_name())),
+                          {}, answer.detail() + "\n");
+      } else if (retire_status) {
+        exchange->Respond(200, json,
+                          control_protocol_.EncodeRetired(answer.retired()));
+      } else {
+        exchange->Respond(200, json,
+                          answer.catalog().empty() ? "{}" : answer.catalog());
+      }
+    });
+  };
+  PostControl([this, call = std::move(call), done] {
+    control_->Call(call, BootNow(), done);
+  });
+}
+
+void FleetHost::Reload(const FleetSettings& settings) {
+  LogInfo("settings_reloaded",
+          {{"seeds", std::to_string(settings.seeds.size())}});
+  PostControl([this, settings] { member_->SetSeeds(settings.seed_peers()); });
+}
+
+void FleetHost::Drain() {
+  const TimePoint begin = Clock::now();
+  const TimePoint limit = begin + settings_.stop_grace - kEndMargin;
+  LogInfo("draining", {{"busy", std::to_string(busy_.load())}});
+  PostControl([this] {
+    member_->Leave();
+    if (control_ != nullptr) {
+      control_->Leave(BootNow());
+    }
+    if (store_ != nullptr) {
+      store_->Leave(BootNow());
+    }
+  });
+  if (front_ == nullptr) {
+    std::this_thread::sleep_for(kHandOver);
+    return;
+  }
+  loop_.Post([this] {
+    front_->view.draining = true;
+    items_->StopAll();
+    front_server_->Drain(loop_.now() + kNotReadyTime);
+  });
+  std::this_thread::sleep_for(kNotReadyTime + kItemReportInterval * 2);
+  while (busy_ > 0 && Clock::now() < limit) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  LogInfo("drained", {{"busy", std::to_string(busy_.load())}});
+}
+
+FleetHost::~FleetHost() {
+  stopping_ = true;
+  PostControl([] {});
+  loop_.Stop();
+  if (control_thread_.joinable()) {
+    control_thread_.join();
+  }
+  if (traffic_thread_.joinable()) {
+    traffic_thread_.join();
+  }
+  front_server_.reset();
+  ready_server_.reset();
+  control_server_.reset();
+  metrics_server_.reset();
+  ::close(wake_fd_);
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/fleet/fleet_member.cc
@@ -0,0 +1,170 @@
+#include "fleet/fleet_member.h"
+
+#include "fleet/boot_clock.h"
+#include "observe/log.h"
+
+namespace sequoialb {
+namespace {
+
+// Well under the 2 s in which a change has to reach every host.
+constexpr milliseconds kHelloInterval{250};
+// Until the first catalog has come.
+constexpr milliseconds kEagerHelloInterval{100};
+// Six greetings unanswered.
+constexpr milliseconds kContactLostAfter{1'500};
+
+}  // namespace
+
+FleetMember::FleetMember(MemberOptions options, HostLinks& links,
+                         Callbacks callbacks)
+    : options_(std::move(options)),
+      links_(links),
+      callbacks_(std::move(callbacks)) {
+  SetSeeds(options_.seeds);
+}
+
+void FleetMember::SetSeeds(const std::vector<Address>& seeds) {
+  options_.seeds = seeds;
+  for (const Address& seed : seeds) {
+    links_.Learn(seed.ToString(), seed);
+  }
+}
+
+// Control hosts by name, and seeds that no known name covers.
+std::set<std::string> FleetMember::Targets() const {
+  std::set<std::string> targets;
+  std::set<std::string> covered;
+  for (const auto& [name, info] : hosts_) {
+    if (info.control()) {
+      targets.insert(name);
+      covered.insert(info.peer_address());
+    }
+  }
+  for (const Address& seed : options_.seeds) {
+    if (covered.count(seed.ToString()) == 0) {
+      targets.insert(seed.ToString());
+    }
+  }
+  return targets;
+}
+
+void FleetMember::Tick(TimePoint now) {
+  if (in_contact_ && !InContact(now)) {
+    in_contact_ = false;
+    LogWarn("control_lost", {{"leader", leader_host_}});
+  }
+  if (now < next_hello_) {
+    return;
+  }
+  next_hello_ = now + (has_catalog_ ? kHelloInterval : kEagerHelloInterval);
+  proto::FleetMessage message;
+  proto::HostHello& hello = *message.mutable_hello();
+  *hello.mutable_info() = options_.self;
+  hello.set_has_catalog(has_catalog_);
+  hello.set_catalog_version(catalog_version_);
+  hello.set_wants_backends(options_.wants_backends);
+  callbacks_.fill_hello(hello);
+  for (const std::string& target : Targets()) {
+    const auto known = controls_.find(target);
+    const Control control =
+        known == controls_.end() ? Control{} : known->second;
+    hello.set_directory_hash(control.directory_hash);
+    hello.set_registry_incarnation(control.registry_incarnation);
+    hello.set_registry_cursor(control.registry_cursor);
+    // As late as possible: authority runs from this instant.
+    hello.set_sent_at_us(ToMicros(BootNow()));
+    links_.Send(target, message);
+  }
+}
+
+bool FleetMember::InContact(TimePoint now) const {
+  return last_reply_ != TimePoint() && now - last_reply_ < kContactLostAfter;
+}
+
+void FleetMember::OnReply(const std::string& from,
+                          const proto::HelloReply& reply, TimePoint now) {
+  last_reply_ = now;
+  if (!in_contact_) {
+    in_contact_ = true;
+    LogInfo("control_found", {{"host", from}});
+  }
+  Control& control = controls_[from];
+  control.registry_incarnation = reply.registry_incarnation();
+  control.registry_cursor = reply.registry_cursor();
+  if (reply.directory_hash() != control.directory_hash) {
+    control.directory_hash = reply.directory_hash();
+    TakeDirectory(reply);
+  }
+  if (reply.confirmed()) {
+    leader_host_ = from;
+    last_confirmed_.Clear();
+    *last_confirmed_.mutable_store_founders() = reply.store_founders();
+    *last_confirmed_.mutable_retiring_hosts() = reply.retiring_hosts();
+    *last_confirmed_.mutable_live_fronts() = reply.live_fronts();
+  }
+  bool changed = false;
+  for (const proto::BackendRecord& record : reply.backends()) {
+    if (backends_.Merge(record, now)) {
+      changed = true;
+      LogInfo("backend_changed",
+              {{"backend", record.id()},
+               {"address", record.address()},
+               {"leaving", record.leaving() ? "yes" : "no"},
+               {"gone", record.gone() ? "yes" : "no"},
+               {"sequence", std::to_string(record.sequence())},
+               {"told_by", from}});
+    }
+  }
+  if (changed) {
+    callbacks_.on_backends();
+  }
+  TakeAuthority(reply);
+}
+
+void FleetMember::TakeDirectory(const proto::HelloReply& reply) {
+  for (const proto::HostInfo& info : reply.hosts()) {
+    const auto address = ParseAddress(info.peer_address());
+    if (!address) {
+      LogWarn("host_without_address", {{"host", info.host()}});
+      continue;
+    }
+    if (info.host() == options_.self.host()) {
+      continue;
+    }
+    proto::HostInfo& held = hosts_[info.host()];
+    if (held.incarnation() <= info.incarnation()) {
+      held = info;
+      links_.Learn(info.host(), *address);
+    }
+  }
+}
+
+void FleetMember::TakeAuthority(const proto::HelloReply& reply) {
+  const bool newer =
+      reply.has_catalog() &&
+      (!has_catalog_ || reply.catalog_version() > catalog_version_);
+  if (newer && !reply.catalog().empty() &&
+      callbacks_.on_catalog(reply.catalog_version(), reply.catalog())) {
+    has_catalog_ = true;
+    catalog_version_ = reply.catalog_version();
+  }
+  const bool current =
+      has_catalog_ && reply.catalog_version() <= catalog_version_;
+  if (!reply.confirmed() || !current) {
+    return;
+  }
+  const TimePoint until = FromMicros(reply.sent_at_us()) + options_.authority;
+  if (until > authority_until_) {
+    authority_until_ = until;
+    callbacks_.on_authority(until);
+  }
+  if (reply.shares_size() > 0) {
+    std::map<std::string, double> shares;
+    for (const proto::AccountShare& share : reply.shares()) {
+      shares[share.account()] = share.share();
+    }
+    callbacks_.on_shares(shares);
+  }
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/fleet/fleet_settings.cc
@@ -0,0 +1,89 @@
+#include "fleet/fleet_settings.h"
+
+#include <algorithm>
+
+#include "observe/log.h"
+#include "settings/json_fields.h"
+
+namespace sequoialb {
+namespace {
+
+std::optional<Address> ReadAddress(FieldReader& reader,
+                                   const std::string& name) {
+  const std::string text = reader.String(name, "");
+  if (text.empty()) {
+    return std::nullopt;
+  }
+  auto address = ParseAddress(text);
+  if (!address) {
+    reader.Refuse(name, address.error().detail);
+    return std::nullopt;
+  }
+  return *address;
+}
+
+}  // namespace
+
+std::vector<Address> FleetSettings::seed_peers() const {
+  std::vector<Address> peers;
+  for (const std::string& seed : seeds) {
+    peers.push_back({seed.substr(0, seed.find(':')), peer.port});
+  }
+  return peers;
+}
+
+Result<FleetSettings> ParseFleetSettings(const std::string& text,
+                                         const std::string& origin) {
+  const auto document = JsonDocument::Parse(text, origin);
+  if (!document) {
+    return tl::unexpected<Error>(document.error());
+  }
+  FieldReader reader(*document);
+  FleetSettings settings;
+  settings.host = reader.String("host");
+  settings.failure_domain = reader.String("failure_domain");
+  const auto peer = ReadAddress(reader, "peer");
+  if (peer) {
+    settings.peer = *peer;
+  } else {
+    reader.Refuse("peer", "expected IP:PORT");
+  }
+  settings.front = ReadAddress(reader, "front");
+  settings.ready = ReadAddress(reader, "ready");
+  settings.control = ReadAddress(reader, "control");
+  const std::vector<std::string> duties = reader.Strings("duties");
+  settings.store =
+      std::find(duties.begin(), duties.end(), "store") != duties.end();
+  settings.metrics = ReadAddress(reader, "metrics");
+  settings.seeds = reader.Strings("seeds");
+  settings.data_folder = reader.String("data_folder", "");
+  settings.first_start = reader.Bool("first_start", false);
+  settings.tolerated_losses =
+      reader.Uint("tolerated_losses", {.least = 0, .most = 3}, 1);
+  settings.withdrawal = milliseconds(
+      reader.Uint("withdrawal_ms", {.least = 1'500, .most = 600'000}, 5'000));
+  settings.stop_grace = std::chrono::duration_cast<milliseconds>(
+      FromSeconds(reader.Number("stop_grace_s", 1, 600, 8)));
+  settings.log_level = reader.String("log_level", "info");
+  if ((settings.control || settings.store) && settings.data_folder.empty()) {
+    reader.Refuse("data_folder", "a control or store host needs a disk");
+  }
+  if (settings.front && !settings.ready) {
+    reader.Refuse("ready", "a front needs an address for the balancer");
+  }
+  const Status read = reader.Finish();
+  if (!read) {
+    return tl::unexpected<Error>(read.error());
+  }
+  return settings;
+}
+
+Result<FleetSettings> LoadFleetSettings(const std::string& path) {
+  const auto text = ReadFile(path);
+  if (!text) {
+    return tl::unexpected<Error>(text.error());
+  }
+  return ParseFleetSettings(*text, path);
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/gateway/backend_pool.cc
@@ -0,0 +1,188 @@
+#include "gateway/backend_pool.h"
+
+#include <algorithm>
+
+namespace sequoialb {
+namespace {
+
+// A report of others' load counts in full for this long, then fades.
+constexpr milliseconds kReportFresh{400};
+constexpr milliseconds kReportEnds{2'000};
+// Slots of a server that batch items leave free, for online requests.
+constexpr double kItemReserve = 1;
+// A failing server is left alone this long, doubled with each failure.
+constexpr milliseconds kAvoidFirst{250};
+constexpr uint32_t kAvoidDoublings = 4;
+// A server that said it was full is left alone this long.
+constexpr milliseconds kFullPause{60};
+// What a server away from home must have more of free slots, as a part of its
+// slots, to be chosen before one at home.
+constexpr double kAwayCost = 0.10;
+constexpr double kOtherDomainCost = 0.15;
+constexpr double kColdCost = 0.50;
+
+}  // namespace
+
+void BackendPool::SetUsable(const std::vector<UsableBackend>& usable) {
+  for (auto& [id, load] : loads_) {
+    load.usable = false;
+  }
+  for (const UsableBackend& backend : usable) {
+    Load& load = loads_[backend.id];
+    load.backend = backend;
+    load.usable = true;
+  }
+  for (auto it = loads_.begin(); it != loads_.end();) {
+    const Load& load = it->second;
+    const bool done = !load.usable && load.online + load.items == 0;
+    it = done ? loads_.erase(it) : std::next(it);
+  }
+}
+
+double BackendPool::Others(const Load& load, TimePoint now) {
+  const auto age = now - load.reported_at;
+  if (age <= kReportFresh) {
+    return load.others;
+  }
+  if (age >= kReportEnds) {
+    return 0;
+  }
+  return load.others * ToSeconds(kReportEnds - age) /
+         ToSeconds(kReportEnds - kReportFresh);
+}
+
+double BackendPool::Busy(const Load& load, TimePoint now) {
+  return static_cast<double>(load.online + load.items) + Others(load, now);
+}
+
+std::optional<Choice> BackendPool::ChooseOnline(
+    const std::string& service, const std::set<std::string>& avoid,
+    TimePoint now) const {
+  const Load* best = nullptr;
+  double best_cost = 0;
+  const Load* stoppable = nullptr;
+  for (const auto& [id, load] : loads_) {
+    if (!load.usable || load.backend.service != service ||
+        avoid.count(id) > 0 || now < load.avoid_until) {
+      continue;
+    }
+    const auto slots = static_cast<double>(load.backend.slots);
+    const double busy = Busy(load, now);
+    if (busy + 1 > slots + 0.5) {
+      const bool fits =
+          load.items > 0 && busy - static_cast<double>(load.items) + 1 <= slots;
+      if (fits && (stoppable == nullptr || load.items > stoppable->items)) {
+        stoppable = &load;
+      }
+      continue;
+    }
+    const double cost = busy / slots + (load.backend.home ? 0 : kAwayCost) +
+                        (load.backend.own_domain ? 0 : kOtherDomainCost) +
+                        (load.backend.cold ? kColdCost : 0);
+    if (best == nullptr || cost < best_cost) {
+      best = &load;
+      best_cost = cost;
+    }
+  }
+  // An item at home gives way before a request crosses to another domain.
+  const bool far = best != nullptr && !best->backend.own_domain;
+  if (stoppable != nullptr && (best == nullptr || far)) {
+    return Choice{stoppable->backend.id, stoppable->backend.address, true};
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  return Choice{best->backend.id, best->backend.address, false};
+}
+
+std::optional<Choice> BackendPool::ChooseItem(const std::string& service,
+                                              TimePoint now) const {
+  const Load* best = nullptr;
+  double best_free = 0;
+  for (const auto& [id, load] : loads_) {
+    if (!load.usable || !load.backend.home || load.backend.service != service ||
+        now < load.avoid_until) {
+      continue;
+    }
+    const double free = static_cast<double>(load.backend.slots) -
+                        Busy(load, now) - kItemReserve;
+    if (free >= 1 && (best == nullptr || free > best_free)) {
+      best = &load;
+      best_free = free;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  return Choice{best->backend.id, best->backend.address, false};
+}
+
+size_t BackendPool::ItemRoom(TimePoint now) const {
+  double room = 0;
+  for (const auto& [id, load] : loads_) {
+    if (load.usable && load.backend.home && now >= load.avoid_until) {
+      room += std::max(0.0, static_cast<double>(load.backend.slots) -
+                                Busy(load, now) - kItemReserve);
+    }
+  }
+  return static_cast<size_t>(room);
+}
+
+bool BackendPool::Serves(const std::string& service, TimePoint now) const {
+  (void)now;
+  return std::any_of(loads_.begin(), loads_.end(), [&](const auto& entry) {
+    return entry.second.usable && entry.second.backend.service == service;
+  });
+}
+
+BackendPool::Slots BackendPool::SlotsOf(const std::string& service,
+                                        TimePoint now) const {
+  Slots slots;
+  for (const auto& [id, load] : loads_) {
+    if (load.usable && load.backend.service == service &&
+        now >= load.avoid_until) {
+      const auto all = static_cast<double>(load.backend.slots);
+      slots.all += all;
+      slots.free += std::max(0.0, all - Busy(load, now));
+    }
+  }
+  return slots;
+}
+
+void BackendPool::Sent(const std::string& backend, bool item) {
+  Load& load = loads_[backend];
+  ++(item ? load.items : load.online);
+}
+
+void BackendPool::Ended(const std::string& backend, bool item) {
+  Load& load = loads_[backend];
+  uint32_t& count = item ? load.items : load.online;
+  count -= count > 0 ? 1 : 0;
+}
+
+void BackendPool::Reported(const std::string& backend,
+                           const BackendLoad& report, TimePoint now) {
+  Load& load = loads_[backend];
+  const double own = load.online + load.items;
+  load.others =
+      std::max(0.0, static_cast<double>(report.running) + report.waiting - own);
+  load.reported_at = now;
+}
+
+void BackendPool::Full(const std::string& backend, TimePoint now) {
+  Load& load = loads_[backend];
+  load.avoid_until = std::max(load.avoid_until, now + kFullPause);
+}
+
+void BackendPool::Failed(const std::string& backend, TimePoint now) {
+  Load& load = loads_[backend];
+  load.avoid_until =
+      now + kAvoidFirst * (1U << std::min(load.failures, kAvoidDoublings));
+  ++load.failures;
+}
+
+void BackendPool::Succeeded(const std::string& backend) {
+  loads_[backend].failures = 0;
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,551 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+#include "observe/log.h"
+
+namespace sequoialb {
+namespace {
+
+// While requests wait, reports of other fronts' load fade without an event.
+constexpr milliseconds kPumpInterval{15};
+// Until a connection to a backend server stands: several round trips between
+// failure domains, and less than the retransmission of a lost packet.
+constexpr milliseconds kConnectTime{250};
+// A request that may run only once uses no connection that was idle longer.
+constexpr milliseconds kOnceMostIdle{1'000};
+constexpr milliseconds kMostIdle{8'000};
+// Bytes that a caller has not taken before its server is no longer read.
+constexpr size_t kMaxUnsent = 262'144;
+// What an answer needs from a slot to its first event.
+constexpr milliseconds kFirstEventTime{40};
+// How long past its objective a request still waits, as a multiple of it.
+constexpr double kWaitBeyondObjective = 1.0;
+// One line in so many for requests that were served as they should be.
+constexpr uint64_t kServedLogInterval = 64;
+// A caller is told to come back within these bounds, in milliseconds.
+constexpr int64_t kReturnLeastMs = 50;
+constexpr int64_t kReturnMostMs = 1'500;
+constexpr int64_t kNoAuthorityReturnMs = 300;
+
+std::string_view HostWithoutPort(std::string_view host) {
+  return host.substr(0, host.find(':'));
+}
+
+}  // namespace
+
+struct Gateway::Request {
+  uint64_t number = 0;
+  std::shared_ptr<HttpExchange> exchange;
+  // Keeps the route alive across changes of the catalog.
+  std::shared_ptr<const CatalogIndex> catalog;
+  const Route* route = nullptr;
+  std::string account;
+  CallerRequest caller;
+  std::string service;
+  TimePoint arrived_at;
+  TimePoint deadline;
+  TimerId deadline_timer = 0;
+  bool waiting = false;
+
+  std::unique_ptr<HttpCall> call;
+  std::string backend;
+  uint32_t attempts = 0;
+  std::set<std::string> avoid;
+  // Bytes went to a server that has not said that it did not run the request.
+  bool may_have_run = false;
+  // The same, before the present attempt.
+  bool may_have_run_before = false;
+
+  bool head_passed = false;
+  bool events = false;
+  bool paused = false;
+  EventCutter cutter;
+  std::optional<uint64_t> last_event;
+};
+
+Gateway::Gateway(FrontShared& front, Hooks hooks)
+    : front_(front),
+      hooks_(std::move(hooks)),
+      random_(Hash64(RandomHex(8))),
+      started_(front.metrics.counter("sequoialb_requests_total")),
+      completed_(front.metrics.counter("sequoialb_requests_completed_total")),
+      refused_(front.metrics.counter("sequoialb_requests_refused_total")),
+      broken_(front.metrics.counter("sequoialb_requests_broken_total")),
+      resumed_(front.metrics.counter("sequoialb_streams_resumed_total")),
+      caller_left_(front.metrics.counter("sequoialb_requests_abandoned_total")),
+      first_event_(front.metrics.latency("sequoialb_first_byte_seconds")),
+      waited_(front.metrics.latency("sequoialb_wait_seconds")) {}
+
+Gateway::~Gateway() = default;
+
+void Gateway::OnRequest(const std::shared_ptr<HttpExchange>& exchange) {
+  started_.Add();
+  const RequestHead& head = exchange->head();
+  const auto refuse = [&](ErrorCode code, const std::string& detail,
+                          std::optional<int64_t> retry_after_ms = {}) {
+    refused_.Add();
+    const Error error{code, detail, RunState::kNotRun, retry_after_ms};
+    LogRefusal(front_.protocol.DecodeRequest(head).id, "", head.target, error,
+               Duration(0));
+    Refuse(front_, *exchange, error);
+  };
+  if (!front_.view.has_authority()) {
+    refuse(ErrorCode::kStaleConfig,
+           "this host has no confirmed view of the configuration",
+           kNoAuthorityReturnMs);
+    return;
+  }
+  const CatalogIndex& catalog = *front_.view.catalog;
+  const Route* route = catalog.FindRoute(
+      HostWithoutPort(*head.headers.Find("Host")), head.path());
+  if (route == nullptr) {
+    refuse(ErrorCode::kNotFound, "no route has this host and path");
+    return;
+  }
+  const Account* account = nullptr;
+  if (!route->open && !catalog.catalog().accounts.empty()) {
+    account = catalog.FindAccount(front_.protocol.DecodeRequest(head).key);
+    if (account == nullptr) {
+      refuse(ErrorCode::kBadKey, "the key is unknown or withdrawn");
+      return;
+    }
+  }
+  if (route->kind == RouteKind::kBatch) {
+    if (account == nullptr) {
+      refuse(ErrorCode::kNoKey, "batch jobs belong to an account");
+      return;
+    }
+    hooks_.submit_job(exchange, *route, *account);
+    return;
+  }
+  Admit(exchange, *route, account);
+}
+
+void Gateway::Admit(const std::shared_ptr<HttpExchange>& exchange,
+                    const Route& route, const Account* account) {
+  const TimePoint now = front_.loop.now();
+  auto owned = std::make_unique<Request>();
+  Request& request = *owned;
+  request.number = next_request_++;
+  request.exchange = exchange;
+  request.catalog = front_.view.catalog;
+  request.route = &route;
+  request.account = account == nullptr ? "" : account->name;
+  request.caller = front_.protocol.DecodeRequest(exchange->head());
+  request.last_event = request.caller.last_event;
+  request.arrived_at = exchange->received_at();
+  const milliseconds limit =
+      std::min(route.timeout, request.caller.time_left.value_or(route.timeout));
+  request.deadline = request.arrived_at + limit;
+  requests_[request.number] = std::move(owned);
+  if (account != nullptr) {
+    if (const auto wait_s = front_.limiter.Take(*account, now)) {
+      End(request,
+          {ErrorCode::kRateLimited, "the account is over its rate",
+           RunState::kNotRun, static_cast<int64_t>(*wait_s * 1'000) + 1});
+      return;
+    }
+  }
+  const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+  request.service = PickTarget(route, draw);
+  request.deadline_timer = front_.loop.RunAt(
+      request.deadline, [this, &request] { OnDeadline(request); });
+  exchange->OnCallerGone([this, &request] {
+    caller_left_.Add();
+    Finish(request, "caller_left");
+  });
+  if (!TrySend(request)) {
+    Wait(request);
+  }
+}
+
+bool Gateway::TrySend(Request& request) {
+  const TimePoint now = front_.loop.now();
+  if (!line_.empty() && !request.waiting) {
+    // Those who wait go first; the line is in order.
+    return false;
+  }
+  auto choice = front_.pool.ChooseOnline(request.service, request.avoid, now);
+  if (choice && choice->stop_item && !hooks_.stop_item(choice->backend)) {
+    choice.reset();
+  }
+  if (!choice) {
+    return false;
+  }
+  Send(request, *choice);
+  return true;
+}
+
+std::string Gateway::ForwardedBytes(const Request& request,
+                                    const std::string& backend,
+                                    int64_t left_ms) const {
+  const HttpExchange& exchange = *request.exchange;
+  ForwardFields fields;
+  fields.id = request.caller.id;
+  fields.backend = backend;
+  fields.account = request.account;
+  fields.time_left_ms = left_ms;
+  fields.last_event = request.last_event;
+  std::string bytes =
+      exchange.head().method + " " + exchange.head().target + " HTTP/1.1\r\n";
+  const HttpHeaders headers =
+      front_.protocol.ForwardHeaders(exchange.head().headers, fields);
+  for (const HttpHeader& header : headers.fields()) {
+    bytes.append(header.name).append(": ").append(header.value).append("\r\n");
+  }
+  if (exchange.head().framing != BodyFraming::kNone) {
+    bytes +=
+        "Content-Length: " + std::to_string(exchange.body().size()) + "\r\n";
+  }
+  bytes += "\r\n";
+  bytes += exchange.body();
+  return bytes;
+}
+
+void Gateway::Send(Request& request, const Choice& choice) {
+  const TimePoint now = front_.loop.now();
+  const bool withdrawn =
+      !request.account.empty() &&
+      (front_.view.catalog == nullptr ||
+       front_.view.catalog->FindAccount(request.caller.key) == nullptr);
+  if (!front_.view.has_authority() || withdrawn) {
+    End(request, {withdrawn ? ErrorCode::kBadKey : ErrorCode::kStaleConfig,
+                  "the right to run the request ended while it waited",
+                  RunState::kNotRun, kNoAuthorityReturnMs});
+    return;
+  }
+  if (request.waiting) {
+    line_.Remove(request.number);
+    request.waiting = false;
+  }
+  waited_.Observe(now - request.arrived_at);
+  ++request.attempts;
+  request.backend = choice.backend;
+  request.may_have_run_before = request.may_have_run;
+  request.may_have_run = true;
+  front_.pool.Sent(choice.backend, false);
+  CallOptions options;
+  options.request = ForwardedBytes(request, choice.backend,
+                                   RemainingMs(request.deadline, now));
+  options.head_request = request.exchange->head().method == "HEAD";
+  options.echo_header = front_.protocol.echo_header();
+  options.echo_value = request.caller.id;
+  const bool once =
+      request.route->kind == RouteKind::kOnce ||
+      (request.route->kind == RouteKind::kStream && !request.route->resumable);
+  options.most_idle = once ? kOnceMostIdle : kMostIdle;
+  options.connect_deadline = now + kConnectTime;
+  CallEvents events;
+  events.on_head = [this, &request](const ResponseHead& head) {
+    OnHead(request, head);
+  };
+  events.on_data = [this, &request](std::string_view data) {
+    OnData(request, data);
+  };
+  events.on_complete = [this, &request] { OnComplete(request); };
+  events.on_failure = [this, &request](CallFailure failure) {
+    OnFailure(request, failure);
+  };
+  request.call = front_.client.Start(choice.address, std::move(options),
+                                     std::move(events));
+}
+
+void Gateway::Release(Request& request) {
+  request.call.reset();
+  if (!request.backend.empty()) {
+    front_.pool.Ended(request.backend, false);
+    request.backend.clear();
+  }
+}
+
+bool Gateway::MayGoOn(const Request& request) const {
+  const bool repeatable =
+      request.route->kind == RouteKind::kIdempotent ||
+      (request.route->kind == RouteKind::kStream && request.route->resumable);
+  const bool run_allows = !request.may_have_run || repeatable;
+  const bool pass_allows =
+      !request.head_passed || (request.events && request.route->resumable);
+  return run_allows && pass_allows &&
+         request.attempts < request.route->attempts &&
+         front_.loop.now() < request.deadline;
+}
+
+// Goes on at another server, or ends the request with `otherwise`.
+void Gateway::SendAgain(Request& request, const Error& otherwise) {
+  if (!MayGoOn(request)) {
+    End(request, otherwise);
+    return;
+  }
+  if (request.head_passed) {
+    resumed_.Add();
+  }
+  request.cutter.Clear();
+  LogInfo(
+      "request_again",
+      {{"request", request.caller.id},
+       {"reason", otherwise.detail},
+       {"attempts", std::to_string(request.attempts)},
+       {"last_event",
+        request.last_event ? std::to_string(*request.last_event) : "none"}});
+  if (!TrySend(request)) {
+    Wait(request);
+  }
+}
+
+void Gateway::OnHead(Request& request, const ResponseHead& head) {
+  const TimePoint now = front_.loop.now();
+  const BackendAnswer answer = front_.protocol.DecodeAnswer(head);
+  if (answer.load) {
+    front_.pool.Reported(request.backend, *answer.load, now);
+  }
+  if (answer.not_run || answer.other_server) {
+    const std::string backend = request.backend;
+    request.may_have_run = request.may_have_run_before;
+    request.avoid.insert(backend);
+    if (answer.other_server) {
+      front_.pool.Failed(backend, now);
+    } else {
+      front_.pool.Full(backend, now);
+    }
+    Release(request);
+    SendAgain(request,
+              {ErrorCode::kOverloaded,
+               "backend server " + backend + " refused it unrun",
+               request.may_have_run ? RunState::kUnknown : RunState::kNotRun,
+               ReturnAfterMs(request)});
+    return;
+  }
+  const bool success = head.status < 300;
+  if (!success && MayGoOn(request)) {
+    const std::string backend = request.backend;
+    request.avoid.insert(backend);
+    Release(request);
+    SendAgain(request, {ErrorCode::kBackendFailed,
+                        "backend server " + backend + " answered " +
+                            std::to_string(head.status),
+                        RunState::kRan});
+    return;
+  }
+  if (!success && request.head_passed) {
+    End(request, {ErrorCode::kBackendFailed, "the stream could not go on",
+                  RunState::kRan});
+    return;
+  }
+  if (!request.head_passed) {
+    PassHead(request, head);
+  }
+}
+
+void Gateway::PassHead(Request& request, const ResponseHead& head) {
+  request.head_passed = true;
+  const std::string* type = head.headers.Find("Content-Type");
+  request.events =
+      head.status < 300 && request.route->kind == RouteKind::kStream &&
+      type != nullptr && type->find("text/event-stream") != std::string::npos;
+  HttpHeaders passed;
+  for (const HttpHeader& header : head.headers.fields()) {
+    if (!IsHopByHop(header.name, head.headers) &&
+        !EqualsIgnoringCase(header.name, "Content-Length")) {
+      passed.Add(header.name, header.value);
+    }
+  }
+  std::optional<uint64_t> length;
+  if (head.framing == BodyFraming::kLength && !request.events) {
+    length = head.length;
+  } else if (head.framing == BodyFraming::kNone) {
+    length = 0;
+  }
+  first_event_.Observe(front_.loop.now() - request.arrived_at);
+  request.exchange->Start(head.status, passed, length);
+}
+
+void Gateway::OnData(Request& request, std::string_view data) {
+  if (!request.events) {
+    request.exchange->Send(data);
+  } else {
+    request.cutter.Add(data);
+    std::string whole;
+    while (auto event = request.cutter.Next()) {
+      // An event that the caller has already must not come twice.
+      const bool repeated =
+          event->id && request.last_event && *event->id <= *request.last_event;
+      if (repeated) {
+        continue;
+      }
+      request.last_event = event->id ? event->id : request.last_event;
+      whole += event->raw;
+    }
+    request.exchange->Send(whole);
+  }
+  if (request.exchange->unsent() > kMaxUnsent && !request.paused) {
+    request.paused = true;
+    request.call->Pause(true);
+    request.exchange->OnDrained([&request] {
+      if (request.paused && request.call != nullptr) {
+        request.paused = false;
+        request.call->Pause(false);
+      }
+    });
+  }
+}
+
+void Gateway::OnComplete(Request& request) {
+  if (request.events && request.cutter.partial()) {
+    OnFailure(request, CallFailure::kBroken);
+    return;
+  }
+  front_.pool.Succeeded(request.backend);
+  request.exchange->Finish();
+  completed_.Add();
+  Finish(request, "served");
+}
+
+void Gateway::OnFailure(Request& request, CallFailure failure) {
+  const std::string backend = request.backend;
+  front_.pool.Failed(backend, front_.loop.now());
+  request.avoid.insert(backend);
+  if (failure == CallFailure::kUnreachable) {
+    // Nothing was sent, so this was no attempt.
+    --request.attempts;
+    request.may_have_run = request.may_have_run_before;
+  }
+  Release(request);
+  const bool unreachable = failure == CallFailure::kUnreachable;
+  SendAgain(request,
+            {unreachable && !request.may_have_run ? ErrorCode::kOverloaded
+                                                  : ErrorCode::kBackendFailed,
+             "backend server " + backend +
+                 (unreachable ? " cannot be reached" : " broke its answer off"),
+             request.may_have_run ? RunState::kUnknown : RunState::kNotRun,
+             ReturnAfterMs(request)});
+}
+
+void Gateway::Wait(Request& request) {
+  WaitingRequest entry;
+  entry.request = request.number;
+  entry.service = request.service;
+  entry.account = request.account;
+  entry.priority = request.route->priority;
+  entry.in_time_until =
+      request.arrived_at + request.route->objective - kFirstEventTime;
+  const auto patience = std::chrono::duration_cast<Duration>(
+      request.route->objective * (1 + kWaitBeyondObjective));
+  entry.hopeless_at =
+      request.head_passed
+          ? request.deadline
+          : std::min(request.deadline, request.arrived_at + patience);
+  request.waiting = true;
+  line_.Add(std::move(entry));
+  ArmPump();
+}
+
+void Gateway::ArmPump() {
+  if (pump_timer_ == 0 && !line_.empty()) {
+    pump_timer_ = front_.loop.RunAt(front_.loop.now() + kPumpInterval, [this] {
+      pump_timer_ = 0;
+      Pump();
+    });
+  }
+}
+
+void Gateway::Pump() {
+  for (const uint64_t number : line_.TakeHopeless(front_.loop.now())) {
+    RefuseHopeless(*requests_.at(number));
+  }
+  std::set<std::string> full;
+  for (const uint64_t number : line_.Order(front_.loop.now())) {
+    const auto found = requests_.find(number);
+    if (found == requests_.end() || !found->second->waiting) {
+      continue;
+    }
+    Request& request = *found->second;
+    // With servers to avoid, one request's refusal says nothing of the others.
+    if (request.avoid.empty() && full.count(request.service) > 0) {
+      continue;
+    }
+    const std::string service = request.service;
+    const bool picky = !request.avoid.empty();
+    if (!TrySend(request) && !picky) {
+      full.insert(service);
+    }
+  }
+  ArmPump();
+}
+
+void Gateway::RefuseHopeless(Request& request) {
+  request.waiting = false;
+  End(request, {ErrorCode::kOverloaded, "no slot became free in time",
+                request.may_have_run ? RunState::kUnknown : RunState::kNotRun,
+                ReturnAfterMs(request)});
+}
+
+// Those who wait and those who are told to come back share the slots that
+// become free; the later half of a second is left to chance, so that callers
+// refused together do not return together.
+int64_t Gateway::ReturnAfterMs(const Request& request) const {
+  constexpr double kSlotSeconds = 0.7;
+  const auto slots = front_.pool.SlotsOf(request.service, front_.loop.now());
+  const double freed_per_s = std::max(1.0, slots.all / kSlotSeconds);
+  const auto wait_ms = static_cast<int64_t>(
+      1'000 * static_cast<double>(line_.size()) / freed_per_s);
+  const int64_t spread = static_cast<int64_t>(request.number * 37 % 100);
+  return std::clamp(kReturnLeastMs + wait_ms + spread, kReturnLeastMs,
+                    kReturnMostMs);
+}
+
+void Gateway::OnDeadline(Request& request) {
+  request.deadline_timer = 0;
+  End(request, {request.may_have_run ? ErrorCode::kDeadlineExceeded
+                                     : ErrorCode::kOverloaded,
+                "the time limit passed",
+                request.may_have_run ? RunState::kUnknown : RunState::kNotRun});
+}
+
+// Ends a request with an answer of the system's own, or by breaking off an
+// answer that has begun.
+void Gateway::End(Request& request, const Error& error) {
+  refused_.Add();
+  LogRefusal(request.caller.id, request.account, request.route->name, error,
+             front_.loop.now() - request.arrived_at);
+  const std::shared_ptr<HttpExchange> exchange = request.exchange;
+  if (request.head_passed) {
+    broken_.Add();
+    exchange->Abort();
+  } else {
+    Refuse(front_, *exchange, error);
+  }
+  Finish(request, nullptr);
+}
+
+void Gateway::Finish(Request& request, const char* outcome) {
+  if (outcome != nullptr && served_++ % kServedLogInterval == 0) {
+    LogInfo("request_ended",
+            {{"request", request.caller.id},
+             {"account", request.account},
+             {"route", request.route->name},
+             {"backend", request.backend},
+             {"catalog", std::to_string(request.catalog->version())},
+             {"attempts", std::to_string(request.attempts)},
+             {"outcome", outcome},
+             {"one_line_in", std::to_string(kServedLogInterval)}});
+  }
+  Remove(request);
+  hooks_.slot_freed();
+}
+
+void Gateway::Remove(Request& request) {
+  Release(request);
+  front_.loop.Cancel(request.deadline_timer);
+  if (request.waiting) {
+    line_.Remove(request.number);
+  }
+  const auto found = requests_.find(request.number);
+  std::shared_ptr<Request> kept(found->second.release());
+  requests_.erase(found);
+  // Its callbacks may be running.
+  front_.loop.Dispose(kept);
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,94 @@
+// Callers' requests at a front: finds route and account, keeps the rate, waits
+// for a slot, sends to a backend server, passes the answer on as it comes, and
+// goes on at another server where the route allows that.
+//
+// Belongs to the traffic thread. What decides stands apart: BackendPool chooses
+// the server, WaitingLine the order and the end of waiting, AccountLimiter the
+// rate; this class carries their decisions out.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include "gateway/event_cutter.h"
+#include "gateway/front_view.h"
+#include "gateway/refusal.h"
+#include "gateway/waiting_line.h"
+#include "http/http_server.h"
+
+namespace sequoialb {
+
+class Gateway {
+ public:
+  struct Hooks {
+    // Stops one batch item at a server; false when none runs there.
+    std::function<bool(const std::string& backend)> stop_item;
+    // A slot has become free.
+    std::function<void()> slot_freed;
+    // Takes a job that a caller submits on a batch route.
+    std::function<void(std::shared_ptr<HttpExchange>, const Route&,
+                       const Account&)>
+        submit_job;
+  };
+
+  Gateway(FrontShared& front, Hooks hooks);
+  ~Gateway();
+
+  void OnRequest(const std::shared_ptr<HttpExchange>& exchange);
+
+  // Sends what waits, now that slots or servers have changed.
+  void Pump();
+
+  size_t waiting() const { return line_.size(); }
+
+ private:
+  struct Request;
+
+  void Admit(const std::shared_ptr<HttpExchange>& exchange, const Route& route,
+             const Account* account);
+  bool TrySend(Request& request);
+  void Send(Request& request, const Choice& choice);
+  std::string ForwardedBytes(const Request& request, const std::string& backend,
+                             int64_t left_ms) const;
+  void OnHead(Request& request, const ResponseHead& head);
+  void PassHead(Request& request, const ResponseHead& head);
+  void OnData(Request& request, std::string_view data);
+  void OnComplete(Request& request);
+  void OnFailure(Request& request, CallFailure failure);
+  void OnDeadline(Request& request);
+  // Ends the present attempt's claim on its server.
+  void Release(Request& request);
+  bool MayGoOn(const Request& request) const;
+  void SendAgain(Request& request, const Error& otherwise);
+  void Wait(Request& request);
+  void RefuseHopeless(Request& request);
+  void End(Request& request, const Error& error);
+  void Finish(Request& request, const char* outcome);
+  void Remove(Request& request);
+  int64_t ReturnAfterMs(const Request& request) const;
+  void ArmPump();
+
+  FrontShared& front_;
+  Hooks hooks_;
+  WaitingLine line_;
+  std::mt19937_64 random_;
+  uint64_t next_request_ = 1;
+  std::map<uint64_t, std::unique_ptr<Request>> requests_;
+  TimerId pump_timer_ = 0;
+  uint64_t served_ = 0;
+
+  Counter& started_;
+  Counter& completed_;
+  Counter& refused_;
+  Counter& broken_;
+  Counter& resumed_;
+  Counter& caller_left_;
+  LatencyHistogram& first_event_;
+  LatencyHistogram& waited_;
+};
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/gateway/waiting_line.cc
@@ -0,0 +1,63 @@
+#include "gateway/waiting_line.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace sequoialb {
+
+void WaitingLine::Add(WaitingRequest request) {
+  waiting_.push_back(std::move(request));
+}
+
+void WaitingLine::Remove(uint64_t request) {
+  const auto found = std::find_if(
+      waiting_.begin(), waiting_.end(),
+      [&](const WaitingRequest& entry) { return entry.request == request; });
+  if (found != waiting_.end()) {
+    waiting_.erase(found);
+  }
+}
+
+std::vector<uint64_t> WaitingLine::Order(TimePoint now) const {
+  struct Ranked {
+    bool late;
+    int priority;
+    // How many requests of the same account stand before it.
+    size_t turn;
+    size_t arrival;
+    uint64_t request;
+  };
+  std::vector<Ranked> ranked;
+  std::map<std::pair<bool, std::string>, size_t> turns;
+  for (size_t i = 0; i < waiting_.size(); ++i) {
+    const WaitingRequest& entry = waiting_[i];
+    const bool late = now > entry.in_time_until;
+    ranked.push_back({late, entry.priority, turns[{late, entry.account}]++, i,
+                      entry.request});
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
+    return std::tie(a.late, a.priority, a.turn, a.arrival) <
+           std::tie(b.late, b.priority, b.turn, b.arrival);
+  });
+  std::vector<uint64_t> order;
+  order.reserve(ranked.size());
+  for (const Ranked& entry : ranked) {
+    order.push_back(entry.request);
+  }
+  return order;
+}
+
+std::vector<uint64_t> WaitingLine::TakeHopeless(TimePoint now) {
+  std::vector<uint64_t> hopeless;
+  for (const WaitingRequest& entry : waiting_) {
+    if (now >= entry.hopeless_at) {
+      hopeless.push_back(entry.request);
+    }
+  }
+  for (const uint64_t request : hopeless) {
+    Remove(request);
+  }
+  return hopeless;
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/group/consensus_group.cc
@@ -0,0 +1,503 @@
+#include "group/consensus_group.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "base/check.h"
+#include "base/hash.h"
+#include "consensus/group_formation.h"
+#include "observe/log.h"
+#include "proto/storage.pb.h"
+
+namespace sequoialb {
+namespace {
+
+constexpr const char* kIdentityFile = "identity";
+constexpr const char* kSnapshotPrefix = "state-";
+// A learner this close to the leader's commit may vote.
+constexpr uint64_t kCaughtUpEntries = 64;
+// Entries kept behind a snapshot, so that a member that was away for a moment
+// needs no snapshot.
+constexpr uint64_t kTrailingEntries = 64;
+
+// Agreement within a region of a few milliseconds across: a new leader within
+// about a second of the old one's end.
+RaftOptions GroupTiming() {
+  RaftOptions timing;
+  timing.heartbeat = milliseconds(100);
+  timing.election_least = milliseconds(500);
+  timing.election_most = milliseconds(900);
+  return timing;
+}
+
+Result<proto::GroupSnapshot> DecodeGroupSnapshot(const std::string& data,
+                                                 const std::string& origin) {
+  proto::GroupSnapshot snapshot;
+  if (!snapshot.ParseFromString(data) ||
+      snapshot.checksum() != Hash64(snapshot.state())) {
+    return Fail(ErrorCode::kCorrupt, origin + ": the checksum does not match");
+  }
+  return snapshot;
+}
+
+SnapshotMark MarkOf(const proto::GroupSnapshot& snapshot) {
+  return {snapshot.index(), snapshot.term(), snapshot.membership()};
+}
+
+}  // namespace
+
+ConsensusGroup::ConsensusGroup(GroupOptions options, FileSystem& files,
+                               GroupState& state, Metrics& metrics, Send send)
+    : options_(std::move(options)),
+      files_(files),
+      state_(state),
+      send_(std::move(send)),
+      committed_(metrics.counter("sequoialb_group_committed_total",
+                                 "group=\"" + options_.name + "\"")),
+      sync_latency_(metrics.latency("sequoialb_group_sync_seconds",
+                                    "group=\"" + options_.name + "\"")) {}
+
+Result<std::unique_ptr<ConsensusGroup>> ConsensusGroup::Open(
+    GroupOptions options, FileSystem& files, GroupState& state,
+    Metrics& metrics, Send send, TimePoint now) {
+  std::unique_ptr<ConsensusGroup> group(new ConsensusGroup(
+      std::move(options), files, state, metrics, std::move(send)));
+  const Status opened = group->OpenDisk(now);
+  if (!opened) {
+    return tl::unexpected<Error>(opened.error());
+  }
+  return group;
+}
+
+Status ConsensusGroup::LoadIdentity() {
+  const Status made = files_.MakeFolder(options_.folder);
+  if (!made) {
+    return made;
+  }
+  const auto names = files_.List(options_.folder);
+  if (!names) {
+    return tl::unexpected<Error>(names.error());
+  }
+  const bool known =
+      std::find(names->begin(), names->end(), kIdentityFile) != names->end();
+  if (!known) {
+    fresh_disk_ = true;
+    node_ = NewNodeName(options_.host);
+    WriteIdentity();
+    return {};
+  }
+  const auto data = files_.Read(options_.folder + "/" + kIdentityFile);
+  if (!data) {
+    return tl::unexpected<Error>(data.error());
+  }
+  proto::DiskIdentity identity;
+  if (!identity.ParseFromString(*data) || identity.node().empty()) {
+    return Fail(ErrorCode::kCorrupt,
+                options_.folder + "/" + kIdentityFile + ": cannot be read");
+  }
+  node_ = identity.node();
+  founders_.assign(identity.founders().begin(), identity.founders().end());
+  return {};
+}
+
+void ConsensusGroup::WriteIdentity() {
+  proto::DiskIdentity identity;
+  identity.set_node(node_);
+  for (const std::string& founder : founders_) {
+    identity.add_founders(founder);
+  }
+  const Status written = WriteFileDurably(
+      files_, options_.folder, kIdentityFile, identity.SerializeAsString());
+  if (!written) {
+    DiskFailed(written.error());
+  }
+}
+
+std::string ConsensusGroup::SnapshotPath(uint64_t index) const {
+  return options_.folder + "/" + kSnapshotPrefix + std::to_string(index);
+}
+
+Status ConsensusGroup::LoadSnapshot(RaftPersistent& persistent) {
+  snapshot_index_ = persistent.snapshot.index;
+  const std::string path = SnapshotPath(snapshot_index_);
+  const auto data = files_.Read(path);
+  if (!data) {
+    return tl::unexpected<Error>(data.error());
+  }
+  const auto snapshot = DecodeGroupSnapshot(*data, path);
+  if (!snapshot) {
+    return tl::unexpected<Error>(snapshot.error());
+  }
+  applied_ = snapshot->index();
+  state_bytes_ = snapshot->state().size();
+  return state_.Load(snapshot->state());
+}
+
+Status ConsensusGroup::OpenDisk(TimePoint now) {
+  const Status identified = LoadIdentity();
+  if (!identified) {
+    return identified;
+  }
+  RaftPersistent persistent;
+  auto storage =
+      RaftStorage::Open(files_, options_.folder + "/log", persistent);
+  if (!storage) {
+    return tl::unexpected<Error>(storage.error());
+  }
+  storage_ = std::move(*storage);
+  if (persistent.snapshot.index > 0) {
+    const Status loaded = LoadSnapshot(persistent);
+    if (!loaded) {
+      return loaded;
+    }
+  } else {
+    for (const std::string& founder : founders_) {
+      persistent.snapshot.membership.add_voters(founder);
+    }
+  }
+  for (const proto::LogEntry& entry : persistent.entries) {
+    log_bytes_ += entry.command().size();
+  }
+  raft_ = std::make_unique<Raft>(node_, GroupTiming(), persistent, now,
+                                 Hash64(node_));
+  LogInfo("group_opened",
+          {{"group", options_.name},
+           {"node", node_},
+           {"fresh_disk", fresh_disk_ ? "yes" : "no"},
+           {"snapshot", std::to_string(persistent.snapshot.index)},
+           {"entries", std::to_string(persistent.entries.size())}});
+  return {};
+}
+
+void ConsensusGroup::Found(const std::vector<std::string>& founders,
+                           TimePoint now) {
+  founders_ = founders;
+  WriteIdentity();
+  RaftPersistent persistent;
+  for (const std::string& founder : founders) {
+    persistent.snapshot.membership.add_voters(founder);
+  }
+  raft_ = std::make_unique<Raft>(node_, GroupTiming(), persistent, now,
+                                 Hash64(node_));
+  LogInfo("group_founded", {{"group", options_.name},
+                            {"founders", std::to_string(founders.size())}});
+}
+
+void ConsensusGroup::Receive(const proto::RaftMessage& message, TimePoint now) {
+  if (message.to_node() != node_) {
+    return;
+  }
+  if (message.kind_case() == proto::RaftMessage::kSnapshotChunk) {
+    OnChunk(message, now);
+  } else if (message.kind_case() == proto::RaftMessage::kSnapshotReply) {
+    OnChunkReply(message, now);
+  } else {
+    raft_->Receive(message, now);
+  }
+}
+
+void ConsensusGroup::Tick(TimePoint now) {
+  raft_->Tick(now);
+  if (leads()) {
+    SendChunks(now);
+  }
+}
+
+void ConsensusGroup::Flush(TimePoint now) {
+  // Persisting on a group of one commits at once, which leads to more.
+  while (true) {
+    NoteRole();
+    RaftReady ready = raft_->TakeReady();
+    SendAll(ready.messages);
+    StartTransfers(ready.snapshot_wanted, now);
+    if (ready.needs_persist()) {
+      const TimePoint begin = Clock::now();
+      const Status persisted =
+          storage_->Persist(ready.hard_state, ready.entries);
+      if (!persisted) {
+        DiskFailed(persisted.error());
+      }
+      sync_latency_.Observe(Clock::now() - begin);
+      for (const proto::LogEntry& entry : ready.entries) {
+        log_bytes_ += entry.command().size();
+      }
+    }
+    SendAll(ready.after_persist);
+    if (!ready.entries.empty()) {
+      const proto::LogEntry& last = ready.entries.back();
+      raft_->Persisted(last.index(), last.term(), now);
+    }
+    if (!ready.committed.empty()) {
+      Apply(ready.committed);
+    }
+    if (ready.entries.empty() && ready.committed.empty()) {
+      break;
+    }
+  }
+  MaybeSnapshot();
+}
+
+void ConsensusGroup::Propose(const std::string& command, TimePoint now,
+                             Outcome outcome) {
+  const auto index = raft_->Propose(command, now);
+  if (!index) {
+    outcome(tl::unexpected<Error>(index.error()));
+    return;
+  }
+  pending_[*index] = {raft_->term(), std::move(outcome)};
+}
+
+void ConsensusGroup::Apply(const std::vector<proto::LogEntry>& entries) {
+  for (const proto::LogEntry& entry : entries) {
+    SEQ_CHECK(entry.index() > applied_,
+              "entry " << entry.index() << " after " << applied_);
+    applied_ = entry.index();
+    committed_.Add();
+    Status outcome;
+    if (!entry.command().empty()) {
+      outcome = state_.Apply(entry.command());
+    }
+    const auto found = pending_.find(entry.index());
+    if (found == pending_.end()) {
+      continue;
+    }
+    const Pending pending = std::move(found->second);
+    pending_.erase(found);
+    if (pending.term == entry.term()) {
+      pending.outcome(outcome);
+    } else {
+      pending.outcome(Fail(ErrorCode::kNoQuorum, "another leader took over",
+                           RunState::kUnknown));
+    }
+  }
+}
+
+// A node that no longer leads does not know what becomes of its proposals.
+void ConsensusGroup::DropPending() {
+  std::map<uint64_t, Pending> dropped;
+  dropped.swap(pending_);
+  for (const auto& [index, pending] : dropped) {
+    pending.outcome(Fail(ErrorCode::kNoQuorum, "this node no longer leads",
+                         RunState::kUnknown));
+  }
+}
+
+void ConsensusGroup::NoteRole() {
+  const bool led = last_role_ == RaftRole::kLeader;
+  if (led && (!leads() || raft_->term() != last_term_)) {
+    sender_.Clear();
+    DropPending();
+  }
+  if (raft_->role() != last_role_ || raft_->leader() != last_leader_) {
+    LogInfo("group_role", {{"group", options_.name},
+                           {"leads", leads() ? "yes" : "no"},
+                           {"leader", raft_->leader()},
+                           {"term", std::to_string(raft_->term())}});
+  }
+  last_role_ = raft_->role();
+  last_term_ = raft_->term();
+  last_leader_ = raft_->leader();
+}
+
+bool ConsensusGroup::Confirmed(TimePoint now) const {
+  return raft_->LeaseValid(now) && applied_ == raft_->commit_index();
+}
+
+std::string ConsensusGroup::leader_host() const {
+  return HostOfNode(raft_->leader());
+}
+
+proto::GroupStatus ConsensusGroup::status() const {
+  proto::GroupStatus status;
+  status.set_member(member());
+  status.set_leads(leads());
+  status.set_leader_host(leader_host());
+  status.set_term(raft_->term());
+  *status.mutable_membership() = raft_->membership();
+  status.set_settled(raft_->membership_settled());
+  return status;
+}
+
+void ConsensusGroup::SendAll(const std::vector<OutgoingRaft>& messages) {
+  for (const OutgoingRaft& outgoing : messages) {
+    send_(HostOfNode(outgoing.to), outgoing.message);
+  }
+}
+
+void ConsensusGroup::MaintainMembership(
+    const std::map<std::string, GroupCandidate>& candidates,
+    const std::set<std::string>& retiring, TimePoint now) {
+  if (!leads() || !raft_->membership_settled()) {
+    return;
+  }
+  PlannerInput input;
+  input.membership = raft_->membership();
+  input.candidates = candidates;
+  input.retiring = retiring;
+  input.leader = node_;
+  input.most_voters = options_.most_voters;
+  input.now = now;
+  for (const std::string& learner : input.membership.learners()) {
+    const uint64_t match = raft_->MatchOf(learner);
+    if (match > 0 && match + kCaughtUpEntries >= raft_->commit_index()) {
+      input.caught_up.insert(learner);
+    }
+  }
+  if (retiring.count(options_.host) > 0 && input.membership.voters_size() > 1) {
+    StepDown(now);
+    return;
+  }
+  const auto next = PlanMembership(input);
+  if (!next) {
+    return;
+  }
+  const auto proposed = raft_->ProposeMembership(*next, now);
+  std::string voters;
+  for (const std::string& voter : next->voters()) {
+    voters += (voters.empty() ? "" : " ") + voter;
+  }
+  LogInfo("membership_change",
+          {{"group", options_.name},
+           {"voters", voters},
+           {"learners", std::to_string(next->learners_size())},
+           {"outcome", proposed ? "proposed" : proposed.error().detail}});
+}
+
+void ConsensusGroup::MaybeSnapshot() {
+  if (log_bytes_ < options_.snapshot_log_bytes ||
+      log_bytes_ < 2 * state_bytes_ || applied_ <= snapshot_index_) {
+    return;
+  }
+  const SnapshotMark mark = raft_->MarkAt(applied_);
+  proto::GroupSnapshot snapshot;
+  snapshot.set_index(mark.index);
+  snapshot.set_term(mark.term);
+  *snapshot.mutable_membership() = mark.membership;
+  snapshot.set_state(state_.Save());
+  snapshot.set_checksum(Hash64(snapshot.state()));
+  state_bytes_ = snapshot.state().size();
+  Status done = WriteFileDurably(files_, options_.folder,
+                                 kSnapshotPrefix + std::to_string(mark.index),
+                                 snapshot.SerializeAsString());
+  if (done) {
+    done = storage_->MarkSnapshot(mark, false);
+  }
+  if (!done) {
+    DiskFailed(done.error());
+  }
+  if (snapshot_index_ > 0) {
+    const Status removed = files_.Remove(SnapshotPath(snapshot_index_));
+    if (!removed) {
+      LogWarn("old_snapshot_stays", {{"reason", removed.error().detail}});
+    }
+  }
+  snapshot_index_ = mark.index;
+  log_bytes_ = 0;
+  raft_->CompactTo(mark.index > kTrailingEntries ? mark.index - kTrailingEntries
+                                                 : 0);
+  LogInfo("snapshot_written", {{"group", options_.name},
+                               {"index", std::to_string(mark.index)},
+                               {"bytes", std::to_string(state_bytes_)}});
+}
+
+void ConsensusGroup::StartTransfers(const std::vector<std::string>& nodes,
+                                    TimePoint now) {
+  for (const std::string& node : nodes) {
+    const auto data = files_.Read(SnapshotPath(snapshot_index_));
+    if (!data) {
+      LogWarn("snapshot_unreadable", {{"reason", data.error().detail}});
+      continue;
+    }
+    sender_.Start(node, snapshot_index_,
+                  std::make_shared<const std::string>(*data), now);
+  }
+}
+
+void ConsensusGroup::SendChunks(TimePoint now) {
+  std::vector<OutgoingRaft> chunks = sender_.TakeChunks(now);
+  for (OutgoingRaft& outgoing : chunks) {
+    outgoing.message.set_from_node(node_);
+    outgoing.message.set_to_node(outgoing.to);
+    outgoing.message.mutable_snapshot_chunk()->set_term(raft_->term());
+  }
+  SendAll(chunks);
+}
+
+void ConsensusGroup::OnChunk(const proto::RaftMessage& message, TimePoint now) {
+  const proto::SnapshotChunk& chunk = message.snapshot_chunk();
+  if (chunk.term() < raft_->term() || message.from_node() != raft_->leader()) {
+    return;
+  }
+  uint64_t received = 0;
+  const auto whole = receiver_.OnChunk(chunk);
+  if (whole) {
+    Install(message, *whole, now);
+    received = whole->size();
+  } else {
+    received = receiver_.size();
+  }
+  OutgoingRaft answer;
+  answer.to = message.from_node();
+  answer.message.set_from_node(node_);
+  answer.message.set_to_node(message.from_node());
+  proto::SnapshotReply& reply = *answer.message.mutable_snapshot_reply();
+  reply.set_term(chunk.term());
+  reply.set_last_index(chunk.last_index());
+  reply.set_next_offset(received);
+  SendAll({answer});
+}
+
+void ConsensusGroup::OnChunkReply(const proto::RaftMessage& message,
+                                  TimePoint now) {
+  if (message.snapshot_reply().term() != raft_->term()) {
+    return;
+  }
+  const auto delivered =
+      sender_.OnReply(message.from_node(), message.snapshot_reply(), now);
+  if (delivered) {
+    raft_->SnapshotDelivered(message.from_node(), *delivered);
+  }
+}
+
+void ConsensusGroup::Install(const proto::RaftMessage& message,
+                             const std::string& data, TimePoint now) {
+  const auto snapshot = DecodeGroupSnapshot(data, "snapshot from the leader");
+  if (!snapshot) {
+    LogWarn("snapshot_rejected", {{"reason", snapshot.error().detail},
+                                  {"from", message.from_node()}});
+    return;
+  }
+  if (!raft_->InstallSnapshot(MarkOf(*snapshot), now)) {
+    return;
+  }
+  const SnapshotMark mark = MarkOf(*snapshot);
+  Status done =
+      WriteFileDurably(files_, options_.folder,
+                       kSnapshotPrefix + std::to_string(mark.index), data);
+  if (done) {
+    done = storage_->MarkSnapshot(mark, true);
+  }
+  if (done) {
+    done = state_.Load(snapshot->state());
+  }
+  if (!done) {
+    DiskFailed(done.error());
+  }
+  applied_ = mark.index;
+  snapshot_index_ = mark.index;
+  state_bytes_ = snapshot->state().size();
+  log_bytes_ = 0;
+  LogInfo("snapshot_installed",
+          {{"group", options_.name}, {"index", std::to_string(mark.index)}});
+}
+
+// What reached the disk after a failed write is unknown, so the process ends
+// and starts again from what is durable.
+void ConsensusGroup::DiskFailed(const Error& error) const {
+  LogError("disk_failed", {{"group", options_.name},
+                           {"error", std::string(ErrorName(error.code))},
+                           {"reason", error.detail}});
+  std::_Exit(1);
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/group/membership_planner.h
@@ -0,0 +1,50 @@
+// Who votes in a group whose members come, go and lose their disks by
+// themselves.
+//
+// Answers: a machine back with an empty disk (another node, a learner first), a
+// machine replaced by one at another address, machines added while running, a
+// machine that is to be emptied, a voter that stays away. No operator names
+// anyone, and one voter changes at a time. A pure function.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "proto/peer.pb.h"
+
+namespace sequoialb {
+
+// A host with a disk, as last heard.
+struct GroupCandidate {
+  // "HOST@DISK".
+  std::string node;
+  std::string failure_domain;
+  TimePoint heard_at;
+};
+
+struct PlannerInput {
+  proto::Membership membership;
+  // By host. A host's newest disk is the only one that it has.
+  std::map<std::string, GroupCandidate> candidates;
+  // Learners that hold nearly the whole log.
+  std::set<std::string> caught_up;
+  // Hosts to be emptied.
+  std::set<std::string> retiring;
+  std::string leader;
+  // Voters wanted at the most; an odd number.
+  size_t most_voters = 3;
+  TimePoint now;
+};
+
+// Returns the next membership to propose, or nothing when all is well.
+std::optional<proto::Membership> PlanMembership(const PlannerInput& input);
+
+// Picks founders for a new group, spread over failure domains.
+std::vector<std::string> PickFounders(
+    const std::vector<GroupCandidate>& candidates, size_t most);
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/http/event_loop.cc
@@ -0,0 +1,167 @@
+#include "http/event_loop.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+
+#include "base/check.h"
+
+namespace sequoialb {
+namespace {
+
+constexpr int kEventsPerTurn = 256;
+// Without timers the loop still wakes this often, in milliseconds.
+constexpr int kLongestWaitMs = 1'000;
+constexpr uint64_t kWakeToken = ~0ULL;
+
+uint32_t EventMask(bool read, bool write) {
+  return (read ? EPOLLIN : 0U) | (write ? EPOLLOUT : 0U);
+}
+
+}  // namespace
+
+EventLoop::EventLoop()
+    : epoll_fd_(::epoll_create1(EPOLL_CLOEXEC)),
+      wake_fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+      now_(Clock::now()) {
+  SEQ_CHECK(epoll_fd_ >= 0 && wake_fd_ >= 0, "no descriptors for the loop");
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.u64 = kWakeToken;
+  ::epoll_ctl(epoll_fd_, EPOLL_CTL_ADD, wake_fd_, &event);
+}
+
+EventLoop::~EventLoop() {
+  ::close(wake_fd_);
+  ::close(epoll_fd_);
+}
+
+void EventLoop::Watch(int fd, IoHandler* handler, bool read, bool write) {
+  const auto index = static_cast<size_t>(fd);
+  if (index >= watched_.size()) {
+    watched_.resize(index + 1);
+  }
+  watched_[index] = {handler, next_generation_++};
+  epoll_event event{};
+  event.events = EventMask(read, write);
+  event.data.u64 = (static_cast<uint64_t>(watched_[index].generation) << 32U) |
+                   static_cast<uint32_t>(fd);
+  ::epoll_ctl(epoll_fd_, EPOLL_CTL_ADD, fd, &event);
+}
+
+void EventLoop::Change(int fd, bool read, bool write) {
+  const Watched& watched = watched_[static_cast<size_t>(fd)];
+  epoll_event event{};
+  event.events = EventMask(read, write);
+  event.data.u64 = (static_cast<uint64_t>(watched.generation) << 32U) |
+                   static_cast<uint32_t>(fd);
+  ::epoll_ctl(epoll_fd_, EPOLL_CTL_MOD, fd, &event);
+}
+
+void EventLoop::Unwatch(int fd) {
+  watched_[static_cast<size_t>(fd)] = {};
+  ::epoll_ctl(epoll_fd_, EPOLL_CTL_DEL, fd, nullptr);
+}
+
+TimerId EventLoop::RunAt(TimePoint when, std::function<void()> task) {
+  const TimerId id = next_timer_++;
+  timers_.emplace(std::make_pair(when, id), std::move(task));
+  timer_times_.emplace(id, when);
+  return id;
+}
+
+void EventLoop::Cancel(TimerId timer) {
+  const auto found = timer_times_.find(timer);
+  if (found == timer_times_.end()) {
+    return;
+  }
+  timers_.erase({found->second, timer});
+  timer_times_.erase(found);
+}
+
+void EventLoop::Dispose(std::shared_ptr<void> object) {
+  disposed_.push_back(std::move(object));
+}
+
+void EventLoop::Post(std::function<void()> task) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    posted_.push_back(std::move(task));
+  }
+  const uint64_t one = 1;
+  [[maybe_unused]] const ssize_t written = ::write(wake_fd_, &one, sizeof(one));
+}
+
+void EventLoop::Stop() {
+  Post([this] { stopping_ = true; });
+}
+
+int EventLoop::WaitMs() const {
+  if (timers_.empty()) {
+    return kLongestWaitMs;
+  }
+  // Rounded up: a wait of a fraction of a millisecond would be a busy loop.
+  const TimePoint first = timers_.begin()->first.first;
+  const TimePoint now = Clock::now();
+  if (first <= now) {
+    return 0;
+  }
+  return static_cast<int>(
+      std::min<int64_t>(RemainingMs(first, now) + 1, kLongestWaitMs));
+}
+
+void EventLoop::RunTimers() {
+  while (!timers_.empty() && timers_.begin()->first.first <= now_) {
+    const auto first = timers_.begin();
+    const std::function<void()> task = std::move(first->second);
+    timer_times_.erase(first->first.second);
+    timers_.erase(first);
+    task();
+  }
+}
+
+void EventLoop::RunPosted() {
+  uint64_t ignored = 0;
+  [[maybe_unused]] const ssize_t read =
+      ::read(wake_fd_, &ignored, sizeof(ignored));
+  std::vector<std::function<void()>> tasks;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    tasks.swap(posted_);
+  }
+  for (const std::function<void()>& task : tasks) {
+    task();
+  }
+}
+
+void EventLoop::Run() {
+  std::array<epoll_event, kEventsPerTurn> events{};
+  while (!stopping_) {
+    const int count =
+        ::epoll_wait(epoll_fd_, events.data(), kEventsPerTurn, WaitMs());
+    now_ = Clock::now();
+    for (int i = 0; i < count; ++i) {
+      const epoll_event& event = events[static_cast<size_t>(i)];
+      if (event.data.u64 == kWakeToken) {
+        RunPosted();
+        continue;
+      }
+      const auto fd = static_cast<size_t>(event.data.u64 & 0xffffffffU);
+      const auto generation = static_cast<uint32_t>(event.data.u64 >> 32U);
+      if (fd >= watched_.size() || watched_[fd].handler == nullptr ||
+          watched_[fd].generation != generation) {
+        continue;
+      }
+      watched_[fd].handler->OnReady(
+          (event.events & EPOLLIN) != 0, (event.events & EPOLLOUT) != 0,
+          (event.events & (EPOLLERR | EPOLLHUP)) != 0);
+    }
+    RunTimers();
+    disposed_.clear();
+  }
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/http/event_loop.h
@@ -0,0 +1,81 @@
+// One thread's readiness loop: sockets, timers, and tasks of other threads.
+//
+// A thread for each connection costs a stack and a switch for every event; a
+// host of a quarter of a core with hundreds of open streams affords neither.
+// All methods but Post and Stop belong to the thread that runs the loop.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time.h"
+
+namespace sequoialb {
+
+// Takes the readiness of one socket.
+class IoHandler {
+ public:
+  virtual ~IoHandler() = default;
+  virtual void OnReady(bool readable, bool writable, bool failed) = 0;
+};
+
+using TimerId = uint64_t;
+
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  void Watch(int fd, IoHandler* handler, bool read, bool write);
+  void Change(int fd, bool read, bool write);
+  void Unwatch(int fd);
+
+  // Runs `task` once at an instant; a cancelled timer never runs.
+  TimerId RunAt(TimePoint when, std::function<void()> task);
+  void Cancel(TimerId timer);
+
+  // Keeps `object` until no handler of this turn can still be using it.
+  void Dispose(std::shared_ptr<void> object);
+
+  // Runs `task` on the loop's thread. Any thread.
+  void Post(std::function<void()> task);
+  void Stop();
+
+  // Runs until Stop.
+  void Run();
+
+  // The instant at which this turn began.
+  TimePoint now() const { return now_; }
+
+ private:
+  struct Watched {
+    IoHandler* handler = nullptr;
+    uint32_t generation = 0;
+  };
+
+  int WaitMs() const;
+  void RunTimers();
+  void RunPosted();
+
+  int epoll_fd_ = -1;
+  int wake_fd_ = -1;
+  TimePoint now_;
+  uint32_t next_generation_ = 1;
+  std::vector<Watched> watched_;
+  TimerId next_timer_ = 1;
+  std::map<std::pair<TimePoint, TimerId>, std::function<void()>> timers_;
+  std::unordered_map<TimerId, TimePoint> timer_times_;
+  std::vector<std::shared_ptr<void>> disposed_;
+  std::mutex mutex_;
+  std::vector<std::function<void()>> posted_;
+  bool stopping_ = false;
+};
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/http/http_client.cc
@@ -0,0 +1,312 @@
+#include "http/http_client.h"
+
+#include <algorithm>
+
+#include "observe/log.h"
+
+namespace sequoialb {
+namespace {
+
+constexpr size_t kMaxHeadBytes = 65'536;
+// Kept connections to one backend server.
+constexpr size_t kMaxIdle = 16;
+// Kept no longer than this without a word of the far end's own time-out.
+constexpr milliseconds kIdleTime{10'000};
+// Part of the far end's idle time-out that a connection is kept for.
+constexpr double kIdleShare = 0.7;
+
+// Reads "timeout=N" of a Keep-Alive field, in seconds.
+std::optional<uint64_t> KeepAliveSeconds(const HttpHeaders& headers) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string* field = headers.Find("Keep-Alive");
+  if (field == nullptr) {
+    return std::nullopt;
+  }
+  const size_t begin = field->find(kTimeout);
+  const std::string_view value =
+      begin == std::string::npos
+          ? std::string_view(*field)
+          : std::string_view(*field).substr(begin + kTimeout.size());
+  return ParseDecimal(value.substr(0, value.find_first_not_of("0123456789")));
+}
+
+}  // namespace
+
+// One connection to a backend server, for one call after the other.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  ClientConnection(HttpClient& client, const Address& address)
+      : client_(client),
+        address_(address.ToString()),
+        stream_(client.loop_, address,
+                {.on_input = [this] { OnInput(); },
+                 .on_end = [this](StreamEnd end) { OnEnd(end); },
+                 .on_connected = [this] { OnConnected(); }}) {}
+
+  ~ClientConnection() { client_.loop_.Cancel(timer_); }
+
+  const std::string& address() const { return address_; }
+
+  void Begin(CallOptions options, CallEvents events) {
+    options_ = std::move(options);
+    events_ = std::move(events);
+    active_ = true;
+    stray_ = false;
+    head_.reset();
+    if (!stream_.connected()) {
+      timer_ = client_.loop_.RunAt(options_.connect_deadline, [this] {
+        timer_ = 0;
+        Fail(CallFailure::kUnreachable);
+      });
+    }
+    stream_.Write(options_.request);
+  }
+
+  void Cancel() {
+    if (active_) {
+      active_ = false;
+      Close();
+    }
+  }
+
+  void Close() {
+    client_.loop_.Cancel(timer_);
+    timer_ = 0;
+    stream_.Close();
+    client_.loop_.Dispose(shared_from_this());
+  }
+
+  void Pause(bool paused) {
+    if (active_) {
+      stream_.PauseInput(paused);
+    }
+  }
+
+ private:
+  void OnConnected() {
+    client_.loop_.Cancel(timer_);
+    timer_ = 0;
+  }
+
+  void OnInput() {
+    if (!active_) {
+      // Bytes that nobody asked for.
+      client_.stray_.Add();
+      client_.Drop(this);
+      return;
+    }
+    const auto self = shared_from_this();
+    while (active_ && !stream_.input().empty()) {
+      const size_t before = stream_.input().size();
+      if (!head_) {
+        ReadHead();
+      }
+      if (active_ && head_) {
+        ReadBody();
+      }
+      if (active_ && stream_.input().size() == before) {
+        return;
+      }
+    }
+  }
+
+  void ReadHead() {
+    std::string& input = stream_.input();
+    const auto size = HeadSize(input);
+    if (!size) {
+      if (input.size() > kMaxHeadBytes) {
+        Fail(CallFailure::kBroken);
+      }
+      return;
+    }
+    auto head = ParseResponseHead(std::string_view(input).substr(0, *size),
+                                  options_.head_request);
+    if (!head) {
+      LogWarn("answer_malformed",
+              {{"backend", address_}, {"reason", head.error().detail}});
+      Fail(CallFailure::kBroken);
+      return;
+    }
+    input.erase(0, *size);
+    if (head->status < 200) {
+      return;
+    }
+    const std::string* echo = head->headers.Find(options_.echo_header);
+    stray_ = echo != nullptr && *echo != options_.echo_value;
+    decoder_.emplace(head->framing, head->length);
+    head_ = std::move(*head);
+    if (stray_) {
+      client_.stray_.Add();
+      unclean_ = true;
+      LogWarn("answer_of_another_request", {{"backend", address_},
+                                            {"request", options_.echo_value},
+                                            {"answer_to", *echo}});
+    } else {
+      events_.on_head(*head_);
+    }
+    if (active_ && decoder_->state() == BodyDecoder::State::kDone) {
+      OnBodyDone();
+    }
+  }
+
+  void ReadBody() {
+    std::string& input = stream_.input();
+    std::string data;
+    input.erase(0, decoder_->Feed(input, data));
+    if (!data.empty() && !stray_) {
+      events_.on_data(data);
+      if (!active_) {
+        return;
+      }
+    }
+    if (decoder_->state() == BodyDecoder::State::kBad) {
+      Fail(CallFailure::kBroken);
+    } else if (decoder_->state() == BodyDecoder::State::kDone) {
+      OnBodyDone();
+    }
+  }
+
+  void OnBodyDone() {
+    if (stray_) {
+      head_.reset();
+      stray_ = false;
+      return;
+    }
+    active_ = false;
+    const bool clean = head_->keep_alive && !unclean_ &&
+                       stream_.unsent() == 0 && stream_.input().empty();
+    const auto complete = std::move(events_.on_complete);
+    events_ = {};
+    if (clean) {
+      stream_.PauseInput(false);
+      milliseconds keep = kIdleTime;
+      if (const auto limit = KeepAliveSeconds(head_->headers)) {
+        keep = std::min(keep,
+                        milliseconds(static_cast<int64_t>(
+                            static_cast<double>(*limit) * 1'000 * kIdleShare)));
+      }
+      client_.Keep(shared_from_this(), client_.loop_.now() + keep);
+    } else {
+      client_.unclean_.Add();
+      Close();
+    }
+    complete();
+  }
+
+  void OnEnd(StreamEnd end) {
+    client_.loop_.Cancel(timer_);
+    timer_ = 0;
+    if (!active_) {
+      client_.Drop(this);
+      return;
+    }
+    const bool whole =
+        end == StreamEnd::kClosed && head_ && !stray_ && decoder_->OnEnd();
+    if (whole) {
+      unclean_ = true;
+      OnBodyDone();
+      return;
+    }
+    Fail(stream_.connected() ? CallFailure::kBroken
+                             : CallFailure::kUnreachable);
+  }
+
+  void Fail(CallFailure failure) {
+    const auto self = shared_from_this();
+    active_ = false;
+    const auto callback = std::move(events_.on_failure);
+    events_ = {};
+    Close();
+    callback(failure);
+  }
+
+  HttpClient& client_;
+  std::string address_;
+  TcpStream stream_;
+  TimerId timer_ = 0;
+  CallOptions options_;
+  CallEvents events_;
+  std::optional<ResponseHead> head_;
+  std::optional<BodyDecoder> decoder_;
+  bool active_ = false;
+  // The answer being read belongs to another request.
+  bool stray_ = false;
+  bool unclean_ = false;
+};
+
+HttpCall::~HttpCall() { connection_->Cancel(); }
+
+void HttpCall::Pause(bool paused) { connection_->Pause(paused); }
+
+HttpClient::HttpClient(EventLoop& loop, Metrics& metrics)
+    : loop_(loop),
+      opened_(metrics.counter("sequoialb_backend_connections_total")),
+      reused_(metrics.counter("sequoialb_backend_reuses_total")),
+      stray_(metrics.counter("sequoialb_backend_stray_answers_total")),
+      unclean_(metrics.counter("sequoialb_backend_unclean_total")) {}
+
+HttpClient::~HttpClient() = default;
+
+std::unique_ptr<HttpCall> HttpClient::Start(const Address& address,
+                                            CallOptions options,
+                                            CallEvents events) {
+  std::deque<Idle>& idle = idle_[address.ToString()];
+  while (!idle.empty() && idle.front().expires <= loop_.now()) {
+    idle.front().connection->Close();
+    idle.pop_front();
+  }
+  std::shared_ptr<ClientConnection> connection;
+  if (!idle.empty() && idle.back().since + options.most_idle > loop_.now()) {
+    connection = std::move(idle.back().connection);
+    idle.pop_back();
+    reused_.Add();
+  } else {
+    connection = std::make_shared<ClientConnection>(*this, address);
+    opened_.Add();
+  }
+  connection->Begin(std::move(options), std::move(events));
+  return std::make_unique<HttpCall>(connection);
+}
+
+void HttpClient::Keep(const std::shared_ptr<ClientConnection>& connection,
+                      TimePoint expires) {
+  std::deque<Idle>& idle = idle_[connection->address()];
+  idle.push_back({connection, loop_.now(), expires});
+  if (idle.size() > kMaxIdle) {
+    idle.front().connection->Close();
+    idle.pop_front();
+  }
+}
+
+void HttpClient::Drop(ClientConnection* connection) {
+  std::deque<Idle>& idle = idle_[connection->address()];
+  for (auto it = idle.begin(); it != idle.end(); ++it) {
+    if (it->connection.get() == connection) {
+      const auto kept = it->connection;
+      idle.erase(it);
+      kept->Close();
+      return;
+    }
+  }
+}
+
+void HttpClient::Forget(const Address& address) {
+  const auto found = idle_.find(address.ToString());
+  if (found == idle_.end()) {
+    return;
+  }
+  for (const Idle& idle : found->second) {
+    idle.connection->Close();
+  }
+  idle_.erase(found);
+}
+
+size_t HttpClient::idle() const {
+  size_t count = 0;
+  for (const auto& [address, connections] : idle_) {
+    count += connections.size();
+  }
+  return count;
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/http/tcp_stream.cc
@@ -0,0 +1,197 @@
+#include "http/tcp_stream.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+
+#include "observe/log.h"
+
+namespace sequoialb {
+namespace {
+
+constexpr size_t kReadBytes = 16'384;
+// A far end that acknowledges nothing for this long is gone. Shorter than the
+// pause after which callers give a stream up, so that a resume is still of use.
+constexpr int kUserTimeoutMs = 2'500;
+// A silent connection is probed after this many seconds, and this often.
+constexpr int kKeepAliveIdleS = 1;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveProbes = 2;
+
+void SetOption(int fd, int level, int option, int value) {
+  ::setsockopt(fd, level, option, &value, sizeof(value));
+}
+
+}  // namespace
+
+TcpStream::TcpStream(EventLoop& loop, Poco::Net::StreamSocket socket,
+                     Owner owner)
+    : loop_(loop),
+      socket_(std::move(socket)),
+      owner_(std::move(owner)),
+      connected_(true) {
+  socket_.setBlocking(false);
+  Prepare();
+  loop_.Watch(socket_.impl()->sockfd(), this, true, false);
+}
+
+TcpStream::TcpStream(EventLoop& loop, const Address& address, Owner owner)
+    : loop_(loop), owner_(std::move(owner)) {
+  try {
+    socket_.connectNB(Poco::Net::SocketAddress(address.ip, address.port));
+    Prepare();
+    wants_write_ = true;
+    loop_.Watch(socket_.impl()->sockfd(), this, true, true);
+  } catch (const Poco::Exception& e) {
+    LogWarn("connect_failed",
+            {{"address", address.ToString()}, {"reason", e.displayText()}});
+    open_ = false;
+    loop_.Post([this, alive = std::weak_ptr<bool>(alive_)] {
+      if (alive.lock() && owner_.on_end) {
+        owner_.on_end(StreamEnd::kBroken);
+      }
+    });
+  }
+}
+
+TcpStream::~TcpStream() {
+  if (open_) {
+    loop_.Unwatch(socket_.impl()->sockfd());
+  }
+}
+
+void TcpStream::Prepare() {
+  const int fd = socket_.impl()->sockfd();
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+}
+
+void TcpStream::Write(std::string_view data) {
+  if (!open_) {
+    return;
+  }
+  const bool idle = unsent() == 0;
+  output_.append(data);
+  if (idle && connected_) {
+    Flush();
+  }
+}
+
+void TcpStream::Flush() {
+  while (unsent() > 0) {
+    const ssize_t sent =
+        ::send(socket_.impl()->sockfd(), output_.data() + output_sent_,
+               unsent(), MSG_NOSIGNAL);
+    if (sent < 0) {
+      // A broken connection shows up as an error event as well.
+      break;
+    }
+    output_sent_ += static_cast<size_t>(sent);
+  }
+  if (unsent() == 0) {
+    output_.clear();
+    output_sent_ = 0;
+  }
+  UpdateInterest();
+}
+
+void TcpStream::UpdateInterest() {
+  const bool write = unsent() > 0 || !connected_;
+  if (write != wants_write_ && open_) {
+    wants_write_ = write;
+    loop_.Change(socket_.impl()->sockfd(), !paused_, wants_write_);
+  }
+}
+
+void TcpStream::PauseInput(bool paused) {
+  if (paused != paused_ && open_) {
+    paused_ = paused;
+    loop_.Change(socket_.impl()->sockfd(), !paused_, wants_write_);
+  }
+}
+
+void TcpStream::Close() {
+  if (!open_) {
+    return;
+  }
+  open_ = false;
+  loop_.Unwatch(socket_.impl()->sockfd());
+  socket_.close();
+}
+
+void TcpStream::ShutdownWrite() {
+  if (open_) {
+    ::shutdown(socket_.impl()->sockfd(), SHUT_WR);
+  }
+}
+
+void TcpStream::End(StreamEnd end) {
+  Close();
+  if (owner_.on_end) {
+    const auto callback = owner_.on_end;
+    callback(end);
+  }
+}
+
+void TcpStream::OnReady(bool readable, bool writable, bool failed) {
+  const std::weak_ptr<bool> alive = alive_;
+  if (!connected_) {
+    int error = 0;
+    socklen_t size = sizeof(error);
+    ::getsockopt(socket_.impl()->sockfd(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0 || (failed && !writable)) {
+      End(StreamEnd::kBroken);
+      return;
+    }
+    if (!writable) {
+      return;
+    }
+    connected_ = true;
+    Flush();
+    if (owner_.on_connected) {
+      owner_.on_connected();
+      if (!alive.lock() || !open_) {
+        return;
+      }
+    }
+  }
+  if (writable && unsent() > 0) {
+    Flush();
+    if (unsent() == 0 && owner_.on_drained) {
+      owner_.on_drained();
+      if (!alive.lock() || !open_) {
+        return;
+      }
+    }
+  }
+  if (readable || failed) {
+    ReadAll();
+  }
+}
+
+void TcpStream::ReadAll() {
+  const std::weak_ptr<bool> alive = alive_;
+  std::array<char, kReadBytes> buffer;
+  const ssize_t got =
+      ::recv(socket_.impl()->sockfd(), buffer.data(), buffer.size(), 0);
+  if (got > 0) {
+    input_.append(buffer.data(), static_cast<size_t>(got));
+    const auto callback = owner_.on_input;
+    callback();
+    return;
+  }
+  if (got == 0) {
+    End(StreamEnd::kClosed);
+  } else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+    End(StreamEnd::kBroken);
+  }
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/jobs/job_client.cc
@@ -0,0 +1,143 @@
+#include "jobs/job_client.h"
+
+#include "observe/log.h"
+
+namespace sequoialb {
+namespace {
+
+// Beyond several round trips and a sync; a lost leader is replaced in a second.
+constexpr milliseconds kCallRetry{250};
+constexpr milliseconds kOutcomeRetry{400};
+
+}  // namespace
+
+std::string JobClient::Target() {
+  const auto& hosts = member_.hosts();
+  const auto known = hosts.find(leader_);
+  if (known != hosts.end()) {
+    return leader_;
+  }
+  std::vector<std::string> stores;
+  for (const auto& [name, info] : hosts) {
+    if (info.store()) {
+      stores.push_back(name);
+    }
+  }
+  return stores.empty() ? "" : stores[turn_++ % stores.size()];
+}
+
+void JobClient::NoteLeader(const std::string& leader) {
+  if (leader != leader_) {
+    LogInfo("store_leader", {{"leader", leader}, {"before", leader_}});
+    leader_ = leader;
+  }
+}
+
+void JobClient::Send(Pending& pending, TimePoint now) {
+  pending.send_at = now + kCallRetry;
+  const std::string target = Target();
+  if (target.empty()) {
+    return;
+  }
+  proto::FleetMessage message;
+  *message.mutable_job_call() = pending.call;
+  links_.Send(target, message);
+}
+
+void JobClient::Call(proto::JobCall call, TimePoint deadline, TimePoint now,
+                     Done done) {
+  const uint64_t number = next_call_++;
+  call.set_call(number);
+  Pending& pending = pending_[number];
+  pending = {std::move(call), deadline, now, std::move(done)};
+  Send(pending, now);
+}
+
+void JobClient::OnAnswer(const proto::JobAnswer& answer, TimePoint now) {
+  const auto found = pending_.find(answer.call());
+  if (answer.error_name() == ErrorName(ErrorCode::kNoQuorum)) {
+    const bool news = answer.leader_host() != leader_;
+    NoteLeader(answer.leader_host());
+    if (found != pending_.end() && news && !leader_.empty()) {
+      found->second.send_at = now;
+    }
+    return;
+  }
+  NoteLeader(answer.leader_host());
+  if (found == pending_.end()) {
+    return;
+  }
+  const Done done = std::move(found->second.done);
+  pending_.erase(found);
+  done(answer);
+}
+
+void JobClient::Fail(uint64_t number) {
+  const auto found = pending_.find(number);
+  const Done done = std::move(found->second.done);
+  pending_.erase(found);
+  proto::JobAnswer answer;
+  answer.set_error_name(std::string(ErrorName(ErrorCode::kNoQuorum)));
+  answer.set_detail("the store group did not answer in time");
+  done(answer);
+}
+
+void JobClient::Tick(TimePoint now) {
+  std::vector<uint64_t> expired;
+  for (auto& [number, pending] : pending_) {
+    if (now >= pending.deadline) {
+      expired.push_back(number);
+    } else if (now >= pending.send_at) {
+      // The leader may be gone: ask around.
+      leader_.clear();
+      Send(pending, now);
+    }
+  }
+  for (const uint64_t number : expired) {
+    Fail(number);
+  }
+  for (auto& [key, kept] : outcomes_) {
+    const std::string target = now >= kept.send_at ? Target() : "";
+    if (!target.empty()) {
+      kept.send_at = now + kOutcomeRetry;
+      proto::FleetMessage message;
+      *message.mutable_item_outcome() = kept.outcome;
+      links_.Send(target, message);
+    }
+  }
+}
+
+void JobClient::SendReport(const proto::ItemReport& report, TimePoint now) {
+  (void)now;
+  const std::string target = Target();
+  if (target.empty()) {
+    return;
+  }
+  proto::FleetMessage message;
+  *message.mutable_item_report() = report;
+  // Items whose outcome is still to be taken are in hand.
+  for (const auto& [key, kept] : outcomes_) {
+    *message.mutable_item_report()->add_in_hand() = kept.outcome.name();
+  }
+  links_.Send(target, message);
+}
+
+void JobClient::OnOffers(const std::string& from,
+                         const proto::ItemOffers& offers) {
+  NoteLeader(offers.leads() ? from : offers.leader_host());
+}
+
+void JobClient::AddOutcome(const proto::ItemOutcome& outcome, TimePoint now) {
+  outcomes_[{outcome.name().job(), outcome.name().item()}] = {outcome, now};
+  Tick(now);
+}
+
+void JobClient::OnTaken(const proto::ItemOutcomeTaken& taken) {
+  const auto found = outcomes_.find({taken.name().job(), taken.name().item()});
+  if (found != outcomes_.end() &&
+      found->second.outcome.name().attempt() == taken.name().attempt()) {
+    outcomes_.erase(found);
+  }
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/jobs/job_client.h
@@ -0,0 +1,59 @@
+// A front's calls to the store group: finds its leader, tries again while time
+// is left, and keeps outcomes of items until they are taken. Belongs to the
+// control thread.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fleet/fleet_member.h"
+#include "fleet/host_links.h"
+
+namespace sequoialb {
+
+class JobClient {
+ public:
+  using Done = std::function<void(const proto::JobAnswer&)>;
+
+  JobClient(HostLinks& links, const FleetMember& member)
+      : links_(links), member_(member) {}
+
+  // `deadline` is on the clock of BootNow.
+  void Call(proto::JobCall call, TimePoint deadline, TimePoint now, Done done);
+  void OnAnswer(const proto::JobAnswer& answer, TimePoint now);
+  void SendReport(const proto::ItemReport& report, TimePoint now);
+  void OnOffers(const std::string& from, const proto::ItemOffers& offers);
+  void AddOutcome(const proto::ItemOutcome& outcome, TimePoint now);
+  void OnTaken(const proto::ItemOutcomeTaken& taken);
+  void Tick(TimePoint now);
+
+ private:
+  struct Pending {
+    proto::JobCall call;
+    TimePoint deadline;
+    TimePoint send_at;
+    Done done;
+  };
+  struct KeptOutcome {
+    proto::ItemOutcome outcome;
+    TimePoint send_at;
+  };
+
+  void NoteLeader(const std::string& leader);
+  // The leader as far as known, else each store host in turn.
+  std::string Target();
+  void Fail(uint64_t number);
+  void Send(Pending& pending, TimePoint now);
+
+  HostLinks& links_;
+  const FleetMember& member_;
+  uint64_t next_call_ = 1;
+  std::string leader_;
+  size_t turn_ = 0;
+  std::map<uint64_t, Pending> pending_;
+  std::map<std::pair<std::string, std::string>, KeptOutcome> outcomes_;
+};
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/jobs/job_entry.cc
@@ -0,0 +1,118 @@
+#include "jobs/job_entry.h"
+
+#include <algorithm>
+
+#include "observe/log.h"
+
+namespace sequoialb {
+namespace {
+
+// Readers wait 1.5 s longer than they allow the system itself.
+constexpr milliseconds kReadTime{1'000};
+constexpr milliseconds kChangeTime{2'500};
+constexpr int64_t kReturnMs = 200;
+
+}  // namespace
+
+void JobEntry::Submit(const std::shared_ptr<HttpExchange>& exchange,
+                      const Route& route, const Account& account) {
+  auto record =
+      front_.protocol.DecodeSubmission(exchange->head(), exchange->body());
+  if (!record) {
+    LogRefusal("", account.name, route.name, record.error(), Duration(0));
+    Refuse(front_, *exchange, record.error());
+    return;
+  }
+  record->set_account(account.name);
+  record->set_route_host(route.host);
+  record->set_attempts(route.attempts);
+  record->set_due_ms(route.due.count());
+  record->set_give_up_ms(route.give_up.count());
+  record->set_token_cap(route.token_cap);
+  // Results stay readable for two minutes after the submission.
+  constexpr int64_t kKeepMs = 120'000;
+  record->set_keep_ms(kKeepMs);
+  proto::JobCall call;
+  call.set_account(account.name);
+  *call.mutable_submit() = std::move(*record);
+  const TimePoint deadline =
+      front_.loop.now() + std::min<Duration>(route.timeout, kChangeTime);
+  const std::string id = call.submit().id();
+  pass_on_(std::move(call), deadline,
+           [this, exchange, id,
+            account = account.name](const proto::JobAnswer& answer) {
+             Answer(*exchange, id, account, answer, 202, true);
+           });
+}
+
+void JobEntry::OnRequest(const std::shared_ptr<HttpExchange>& exchange,
+                         const JobRequest& request) {
+  const std::string key = front_.protocol.DecodeRequest(exchange->head()).key;
+  if (!front_.view.has_authority()) {
+    Refuse(front_, *exchange,
+           {ErrorCode::kStaleConfig,
+            "this host has no confirmed view of the configuration",
+            RunState::kNotRun, kReturnMs});
+    return;
+  }
+  const Account* account = front_.view.catalog->FindAccount(key);
+  if (account == nullptr) {
+    Refuse(front_, *exchange,
+           {ErrorCode::kBadKey, "the key is unknown or withdrawn"});
+    return;
+  }
+  proto::JobCall call;
+  call.set_account(account->name);
+  std::string job;
+  if (const auto* read = std::get_if<ReadJob>(&request)) {
+    call.mutable_read()->set_job(read->job);
+    call.mutable_read()->set_after(read->after);
+    job = read->job;
+  } else if (const auto* body = std::get_if<ReadItemBody>(&request)) {
+    call.mutable_body()->set_job(body->job);
+    call.mutable_body()->set_item(body->item);
+    job = body->job;
+  } else {
+    job = std::get<EndJob>(request).job;
+    call.set_end_job(job);
+  }
+  const bool mutating = call.kind_case() == proto::JobCall::kEndJob;
+  pass_on_(std::move(call),
+           front_.loop.now() + (mutating ? kChangeTime : kReadTime),
+           [this, exchange, job, mutating,
+            name = account->name](const proto::JobAnswer& answer) {
+             Answer(*exchange, job, name, answer, 200, mutating);
+           });
+}
+
+void JobEntry::Answer(HttpExchange& exchange, const std::string& request,
+                      const std::string& account,
+                      const proto::JobAnswer& answer, int success,
+                      bool mutating) const {
+  if (!answer.error_name().empty()) {
+    Error error;
+    error.code = ErrorCodeFromName(answer.error_name());
+    error.detail = answer.detail();
+    // A change that met no answer may be carried out yet.
+    const bool unknown = error.code == ErrorCode::kNoQuorum && mutating;
+    error.run = unknown ? RunState::kUnknown : RunState::kNotRun;
+    error.retry_after_ms = kReturnMs;
+    LogRefusal(request, account, "batch", error,
+               front_.loop.now() - exchange.received_at());
+    Refuse(front_, exchange, error);
+    return;
+  }
+  HttpHeaders headers;
+  const bool body = answer.total() == 0 && !mutating;
+  headers.Add("Content-Type",
+              body ? "application/octet-stream" : "application/json");
+  if (mutating) {
+    exchange.Respond(success, headers, "{}");
+  } else if (body) {
+    exchange.Respond(success, headers, answer.body());
+  } else {
+    exchange.Respond(success, headers, front_.protocol.EncodeResults(answer));
+  }
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/jobs/job_table.cc
@@ -0,0 +1,169 @@
+#include "jobs/job_table.h"
+
+#include "observe/log.h"
+
+namespace sequoialb {
+
+const KeptJob* JobTable::Find(const std::string& id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+uint64_t JobTable::WaitingTokens(const std::string& account,
+                                 const std::string& route_host) const {
+  uint64_t tokens = 0;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.open() || job.job.account() != account ||
+        job.job.route_host() != route_host) {
+      continue;
+    }
+    for (const KeptItem& item : job.items) {
+      tokens += item.listed ? 0 : item.item.tokens();
+    }
+  }
+  return tokens;
+}
+
+void JobTable::Index(KeptJob& job) {
+  for (size_t i = 0; i < job.items.size(); ++i) {
+    job.by_id[job.items[i].item.id()] = i;
+  }
+}
+
+Status JobTable::Submit(const proto::JobRecord& record) {
+  const auto found = jobs_.find(record.id());
+  if (found != jobs_.end()) {
+    if (found->second.job.account() != record.account()) {
+      return Fail(ErrorCode::kConflict, "another account has this job");
+    }
+    return {};
+  }
+  uint64_t tokens = 0;
+  for (const proto::JobItem& item : record.items()) {
+    tokens += item.tokens();
+  }
+  if (record.token_cap() > 0 &&
+      WaitingTokens(record.account(), record.route_host()) + tokens >
+          record.token_cap()) {
+    return Fail(ErrorCode::kRateLimited,
+                "the account's waiting tokens would exceed their limit");
+  }
+  KeptJob& job = jobs_[record.id()];
+  job.job = record;
+  for (proto::JobItem& item : *job.job.mutable_items()) {
+    KeptItem kept;
+    kept.item.Swap(&item);
+    job.items.push_back(std::move(kept));
+  }
+  job.job.clear_items();
+  Index(job);
+  LogInfo("job_accepted", {{"job", record.id()},
+                           {"account", record.account()},
+                           {"items", std::to_string(job.items.size())}});
+  return {};
+}
+
+void JobTable::Done(const proto::StoreCommand::ItemDone& done) {
+  const auto found = jobs_.find(done.job());
+  if (found == jobs_.end()) {
+    return;
+  }
+  KeptJob& job = found->second;
+  const auto position = job.by_id.find(done.item());
+  if (position == job.by_id.end()) {
+    return;
+  }
+  KeptItem& item = job.items[position->second];
+  if (item.listed) {
+    return;
+  }
+  item.listed = true;
+  item.dead = done.dead();
+  item.output = done.dead() ? "" : done.output();
+  // Bodies are asked for only while an item is not listed.
+  item.item.clear_body();
+  item.item.clear_headers();
+  job.listed.push_back(static_cast<uint32_t>(position->second));
+}
+
+Status JobTable::Apply(const std::string& command) {
+  proto::StoreCommand parsed;
+  if (!parsed.ParseFromString(command)) {
+    return Fail(ErrorCode::kCorrupt, "a command of the log cannot be read");
+  }
+  switch (parsed.kind_case()) {
+    case proto::StoreCommand::kSubmit:
+      return Submit(parsed.submit());
+    case proto::StoreCommand::kDone:
+      Done(parsed.done());
+      return {};
+    case proto::StoreCommand::kEndJob: {
+      const auto found = jobs_.find(parsed.end_job());
+      if (found == jobs_.end()) {
+        return Fail(ErrorCode::kNotFound, "no such job");
+      }
+      found->second.ended = true;
+      return {};
+    }
+    case proto::StoreCommand::kDropJob:
+      jobs_.erase(parsed.drop_job());
+      return {};
+    case proto::StoreCommand::kFailed: {
+      const auto found = jobs_.find(parsed.failed().job());
+      if (found != jobs_.end()) {
+        const auto position = found->second.by_id.find(parsed.failed().item());
+        if (position != found->second.by_id.end()) {
+          found->second.items[position->second].failures =
+              parsed.failed().failures();
+        }
+      }
+      return {};
+    }
+    default:
+      return Fail(ErrorCode::kCorrupt, "a command of an unknown kind");
+  }
+}
+
+std::string JobTable::Save() const {
+  proto::StoreSnapshot saved;
+  for (const auto& [id, job] : jobs_) {
+    proto::StoredJob& stored = *saved.add_jobs();
+    *stored.mutable_job() = job.job;
+    stored.set_ended(job.ended);
+    for (const uint32_t index : job.listed) {
+      stored.add_listed_order(index);
+    }
+    for (const KeptItem& item : job.items) {
+      proto::StoredItem& kept = *stored.add_items();
+      *kept.mutable_item() = item.item;
+      kept.set_listed(item.listed);
+      kept.set_dead(item.dead);
+      kept.set_output(item.output);
+      kept.set_failures(item.failures);
+    }
+  }
+  return saved.SerializeAsString();
+}
+
+Status JobTable::Load(const std::string& saved) {
+  proto::StoreSnapshot parsed;
+  if (!parsed.ParseFromString(saved)) {
+    return Fail(ErrorCode::kCorrupt, "the jobs cannot be read");
+  }
+  jobs_.clear();
+  for (const proto::StoredJob& stored : parsed.jobs()) {
+    KeptJob& job = jobs_[stored.job().id()];
+    job.job = stored.job();
+    job.ended = stored.ended();
+    job.listed.assign(stored.listed_order().begin(),
+                      stored.listed_order().end());
+    for (const proto::StoredItem& item : stored.items()) {
+      job.items.push_back({item.item(), item.listed(), item.dead(),
+                           item.output(), item.failures()});
+    }
+    Index(job);
+  }
+  return {};
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/jobs/job_table.h
@@ -0,0 +1,60 @@
+// The batch jobs of one store group: the state that the group agrees on.
+//
+// A job is kept whole from its acceptance on. Results stand at positions in the
+// order in which they were recorded, and neither position nor content changes
+// afterwards. Everything here follows from the commands alone; which host runs
+// an item at the moment is soft state of the group's leader.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "group/group_state.h"
+#include "proto/fleet.pb.h"
+
+namespace sequoialb {
+
+struct KeptItem {
+  proto::JobItem item;
+  bool listed = false;
+  // Listed as one that can never be done.
+  bool dead = false;
+  std::string output;
+  uint32_t failures = 0;
+};
+
+struct KeptJob {
+  proto::JobRecord job;
+  std::vector<KeptItem> items;
+  std::map<std::string, size_t> by_id;
+  // Indices of items in the order of their results.
+  std::vector<uint32_t> listed;
+  bool ended = false;
+
+  bool open() const { return !ended && listed.size() < items.size(); }
+};
+
+class JobTable : public GroupState {
+ public:
+  Status Apply(const std::string& command) override;
+  std::string Save() const override;
+  Status Load(const std::string& saved) override;
+
+  const KeptJob* Find(const std::string& id) const;
+  const std::map<std::string, KeptJob>& jobs() const { return jobs_; }
+
+  // Tokens of an account's items that wait on a route.
+  uint64_t WaitingTokens(const std::string& account,
+                         const std::string& route_host) const;
+
+ private:
+  Status Submit(const proto::JobRecord& record);
+  void Done(const proto::StoreCommand::ItemDone& done);
+  static void Index(KeptJob& job);
+
+  std::map<std::string, KeptJob> jobs_;
+};
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/jobs/store_service.h
@@ -0,0 +1,73 @@
+// What a store host does: keeps its part of the store group, and as the group's
+// leader accepts batch jobs, gives items out to fronts, records their results
+// and answers reads. Belongs to the control thread.
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "fleet/host_links.h"
+#include "group/consensus_group.h"
+#include "jobs/item_board.h"
+#include "jobs/job_table.h"
+
+namespace sequoialb {
+
+class StoreService {
+ public:
+  // Opens the store group's disk; fails with kCorrupt or kIo.
+  static Result<std::unique_ptr<StoreService>> Open(
+      const proto::HostInfo& self, const std::string& data_folder,
+      size_t tolerated_losses, FileSystem& files, HostLinks& links,
+      Metrics& metrics, TimePoint now);
+
+  // Takes what the control hosts say of the store group and its hosts.
+  void OnFleet(const std::map<std::string, proto::HostInfo>& hosts,
+               const proto::HelloReply& confirmed, TimePoint now);
+
+  void OnGroup(const proto::RaftMessage& message, TimePoint now);
+  void OnCall(const std::string& from, const proto::JobCall& call,
+              TimePoint now);
+  void OnReport(const std::string& from, const proto::ItemReport& report,
+                TimePoint now);
+  void OnOutcome(const std::string& from, const proto::ItemOutcome& outcome,
+                 TimePoint now);
+  void Tick(TimePoint now);
+  void Flush(TimePoint now);
+  void Leave(TimePoint now) { group_->StepDown(now); }
+
+  const std::string& node() const { return group_->node(); }
+  bool fresh_disk() const { return group_->fresh_disk(); }
+  proto::GroupStatus status() const { return group_->status(); }
+
+ private:
+  using ItemKey = std::pair<std::string, std::string>;
+
+  StoreService(HostLinks& links, Metrics& metrics);
+  void Answer(const std::string& to, proto::JobAnswer answer);
+  void Read(const proto::JobCall& call, proto::JobAnswer& answer) const;
+  void Body(const proto::JobCall& call, proto::JobAnswer& answer) const;
+  void ProposeCall(const std::string& from, const proto::JobCall& call,
+                   TimePoint now);
+  void Record(const std::string& from, const proto::ItemName& name, bool dead,
+              const std::string& output, TimePoint now);
+  void Taken(const std::string& to, const proto::ItemName& name);
+  void ExpireJobs(TimePoint now);
+
+  HostLinks& links_;
+  JobTable jobs_;
+  ItemBoard board_{jobs_};
+  std::unique_ptr<ConsensusGroup> group_;
+  std::map<std::string, GroupCandidate> candidates_;
+  std::set<std::string> retiring_;
+  bool led_ = false;
+  std::set<ItemKey> recording_;
+  TimePoint maintain_at_;
+  TimePoint expire_at_;
+  Counter& accepted_;
+  Counter& refused_;
+  Counter& recorded_;
+};
+
+}  // namespace sequoialb
--- a/src/observe/log.cc
+++ b/src/observe/log.cc
@@ -33,7 +33,7 @@
 
 void StartLog(const std::string& host, const std::string& level) {
   HostName() = host;
-  spdlog::set_default_logger(spdlog::stderr_logger_mt("sequoialb"));
+  spdlog::set_default_logger(spdlog::stdout_logger_mt("sequoialb"));
   spdlog::set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})",
                       spdlog::pattern_time_type::utc);
   SetLogLevel(level);
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -1,4 +1,4 @@
-// Structured logs: one JSON object a line on standard error, through spdlog.
+// Structured logs: one JSON object a line on standard output, through spdlog.
 //
 //   LogInfo("leader_elected", {{"term", "4"}, {"node", node}});
 #pragma once
--- a/src/peer/peer_transport.cc
+++ b/src/peer/peer_transport.cc
@@ -12,8 +12,11 @@
 constexpr int kSendHighWater = 10'000;
 constexpr int kReconnectLeastMs = 100;
 constexpr int kReconnectMostMs = 1'000;
-constexpr int kHeartbeatMs = 1'000;
-constexpr int kHeartbeatTimeoutMs = 3'000;
+// A connection that went silent is replaced within the time that a change of
+// the configuration has to reach every host, 2 s.
+constexpr int kHeartbeatMs = 500;
+constexpr int kHeartbeatTimeoutMs = 1'500;
+constexpr int kConnectTimeoutMs = 1'000;
 constexpr int64_t kMaxMessageBytes = 64 << 20;
 // Messages handled before timers get their turn again.
 constexpr int kDrainLimit = 2'000;
@@ -100,9 +103,13 @@
 }
 
 zmq::socket_t& PeerTransport::SocketTo(const HostEntry& peer) {
+  const std::string address = peer.peer.ToString();
   const auto found = dealers_.find(peer.host);
+  if (found != dealers_.end() && found->second.address == address) {
+    return found->second.socket;
+  }
   if (found != dealers_.end()) {
-    return found->second;
+    dealers_.erase(found);
   }
   zmq::socket_t socket(context_, zmq::socket_type::dealer);
   socket.set(zmq::sockopt::linger, 0);
@@ -118,8 +125,10 @@
     socket.set(zmq::sockopt::curve_publickey, public_key_);
     socket.set(zmq::sockopt::curve_secretkey, secret_key_);
   }
-  socket.connect("tcp://" + peer.peer.ToString());
-  return dealers_.emplace(peer.host, std::move(socket)).first->second;
+  socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
+  socket.connect("tcp://" + address);
+  return dealers_.emplace(peer.host, Dealer{address, std::move(socket)})
+      .first->second.socket;
 }
 
 void PeerTransport::Send(const std::string& host, proto::Envelope envelope) {
@@ -200,9 +209,13 @@
 
 bool PeerTransport::Accept(const proto::Envelope& envelope,
                            zmq::message_t& message) const {
-  if (envelope.to() != settings_.host ||
-      envelope.protocol() != kProtocolVersion ||
-      settings_.Find(envelope.from()) == nullptr ||
+  // A host that is known by its address alone is written to by that.
+  const bool to_here = envelope.to() == settings_.host ||
+                       (settings_.open_membership &&
+                        envelope.to() == settings_.self().peer.ToString());
+  if (!to_here || envelope.protocol() != kProtocolVersion ||
+      (!settings_.open_membership &&
+       settings_.Find(envelope.from()) == nullptr) ||
       cut_.count(envelope.from()) > 0) {
     return false;
   }
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -66,7 +66,11 @@
   zmq::context_t context_;
   zmq::socket_t router_;
   zmq::socket_t zap_;
-  std::map<std::string, zmq::socket_t> dealers_;
+  struct Dealer {
+    std::string address;
+    zmq::socket_t socket;
+  };
+  std::map<std::string, Dealer> dealers_;
   std::vector<proto::Envelope> to_self_;
   std::set<std::string> cut_;
   Counter& sent_messages_;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -65,6 +65,8 @@
   // Path of this host's CURVE secret key; empty when links are in the clear.
   std::string curve_secret_key_file;
   std::vector<HostEntry> hosts;
+  // Hosts are learned while running, and messages of any host are taken.
+  bool open_membership = false;
   // SHA-256 of the token that operators show.
   std::string operator_token_sha256;
   // SHA-256 of the token that backend servers show when they announce
