Lend rates from the control leader instead of dividing them by demand

Ruled out: too low rates (1.6 times the mean demand, burst of a second). Change: the leader owns the buckets through the product's RateOwner (a view of one host, epoch = term), fronts hold loans through LoanHolder and ask before they refuse; without an owner they spend their part without burst. Demand and shares are gone from greetings. Late first events are logged with their cause.

--- a/src/fleet/control_service.cc
+++ b/src/fleet/control_service.cc
@@ -4,7 +4,6 @@
 
 #include "base/hash.h"
 #include "fleet/boot_clock.h"
-#include "fleet/rate_shares.h"
 #include "observe/log.h"
 
 namespace sequoialb {
@@ -16,6 +15,9 @@
 // founds its group; all hosts start within 0.3 s of each other.
 constexpr milliseconds kStoresSettled{1'500};
 constexpr milliseconds kMaintainInterval{200};
+// A leader owns the rates this much longer than it was confirmed; less than the
+// time in which another can be elected.
+constexpr milliseconds kRateLease{100};
 // An operator waits a second for an answer before it asks another host.
 constexpr milliseconds kCallTime{900};
 constexpr milliseconds kCallRetry{150};
@@ -42,6 +44,8 @@
     : options_(std::move(options)),
       links_(links),
       registry_(options_.self.incarnation()),
+      rates_(options_.self.host(), RateOptions{},
+             [this](const std::string& account) { return TermsOf(account); }),
       hellos_(metrics.counter("sequoialb_hellos_total")),
       announcements_(metrics.counter("sequoialb_announcements_total")) {}
 
@@ -84,10 +88,6 @@
   }
   heard.info = hello.info();
   heard.heard_at = now;
-  heard.demand.clear();
-  for (const proto::AccountDemand& demand : hello.demand()) {
-    heard.demand[demand.account()] = demand.per_s();
-  }
 }
 
 uint64_t ControlService::DirectoryHash() const {
@@ -111,12 +111,11 @@
   links_.Learn(from, *address);
   NoteHost(hello, now);
   proto::FleetMessage message;
-  FillReply(from, hello, *message.mutable_hello_reply(), now);
+  FillReply(hello, *message.mutable_hello_reply(), now);
   links_.Send(from, message);
 }
 
-void ControlService::FillReply(const std::string& from,
-                               const proto::HostHello& hello,
+void ControlService::FillReply(const proto::HostHello& hello,
                                proto::HelloReply& reply, TimePoint now) const {
   reply.set_sent_at_us(hello.sent_at_us());
   reply.set_leader_host(group_->leader_host());
@@ -158,18 +157,6 @@
       front.set_failure_domain(heard.info.failure_domain());
     }
   }
-  std::vector<HostDemand> demands;
-  for (const auto& [host, heard] : heard_) {
-    const bool may_act = now - heard.heard_at < 2 * options_.authority;
-    if (heard.info.front() && may_act) {
-      demands.push_back({host, heard.demand});
-    }
-  }
-  for (const auto& [account, share] : SharesOf(from, demands)) {
-    proto::AccountShare& entry = *reply.add_shares();
-    entry.set_account(account);
-    entry.set_share(share);
-  }
 }
 
 void ControlService::OnGroup(const proto::RaftMessage& message, TimePoint now) {
@@ -267,6 +254,7 @@
   }
   registry_.Expire(now);
   RetryCalls(now);
+  OwnRates(now);
   if (group_->leads() && now >= maintain_at_) {
     maintain_at_ = now + kMaintainInterval;
     group_->MaintainMembership(Candidates(true), {}, now);
@@ -274,6 +262,60 @@
   }
 }
 
+std::optional<BucketTerms> ControlService::TermsOf(const std::string& account) {
+  const bool stale =
+      catalog_ == nullptr || catalog_->version() != state_.catalog_version();
+  if (stale && state_.has_catalog()) {
+    auto decoded = options_.decode_catalog(state_.catalog());
+    if (!decoded) {
+      LogError("catalog_unreadable", {{"reason", decoded.error().detail}});
+      return std::nullopt;
+    }
+    catalog_ = std::make_unique<CatalogIndex>(std::move(*decoded));
+  }
+  const Account* found =
+      catalog_ == nullptr ? nullptr : catalog_->AccountNamed(account);
+  if (found == nullptr) {
+    return std::nullopt;
+  }
+  return BucketTerms{found->rate, found->burst};
+}
+
+// The leader owns all accounts' buckets: to the rates' owner it is the only
+// host of the view, whose epoch is the term.
+void ControlService::OwnRates(TimePoint now) {
+  const proto::GroupStatus status = group_->status();
+  proto::HostView view;
+  view.set_epoch(status.term());
+  view.set_settled_epoch(status.term());
+  view.add_members()->set_host(status.leader_host());
+  rates_.SetView(view, now);
+  if (group_->Confirmed(now)) {
+    rates_.SetLease(now + kRateLease);
+  }
+  rates_.Tick(now);
+  SendRateMessages();
+}
+
+void ControlService::OnTokenRequest(const std::string& from,
+                                    const proto::TokenRequest& request,
+                                    TimePoint now) {
+  rates_.OnRequest(from, request, now);
+  SendRateMessages();
+}
+
+void ControlService::SendRateMessages() {
+  for (RateMessage& message : rates_.TakeMessages()) {
+    proto::FleetMessage wrapped;
+    if (message.envelope.has_token_reply()) {
+      *wrapped.mutable_token_reply() = message.envelope.token_reply();
+    } else {
+      *wrapped.mutable_token_recall() = message.envelope.token_recall();
+    }
+    links_.Send(message.to, wrapped);
+  }
+}
+
 void ControlService::Flush(TimePoint now) { group_->Flush(now); }
 
 void ControlService::Announce(const proto::BackendRecord& record,
--- a/src/fleet/control_service.h
+++ b/src/fleet/control_service.h
@@ -12,10 +12,12 @@
 #include <string>
 #include <vector>
 
+#include "catalog/catalog.h"
 #include "fleet/backend_registry.h"
 #include "fleet/control_state.h"
 #include "fleet/host_links.h"
 #include "group/consensus_group.h"
+#include "rates/rate_owner.h"
 
 namespace sequoialb {
 
@@ -28,8 +30,8 @@
   bool first_start = false;
   // Hosts with a disk that may be lost at once.
   size_t tolerated_losses = 1;
-  // How long a host's authority can outlive its last greeting.
-  milliseconds authority{0};
+  // Decodes a stored catalog.
+  std::function<Result<Catalog>(const std::string&)> decode_catalog;
 };
 
 class ControlService {
@@ -47,6 +49,8 @@
   void OnCall(const std::string& from, const proto::ControlCall& call,
               TimePoint now);
   void OnAnswer(const proto::ControlAnswer& answer);
+  void OnTokenRequest(const std::string& from,
+                      const proto::TokenRequest& request, TimePoint now);
   // Word of a backend server that another control host has taken.
   void OnBackend(const proto::BackendRecord& record, TimePoint now);
   void Tick(TimePoint now);
@@ -68,7 +72,6 @@
  private:
   struct HeardHost {
     proto::HostInfo info;
-    std::map<std::string, double> demand;
     TimePoint heard_at;
   };
   struct PendingCall {
@@ -81,8 +84,8 @@
 
   ControlService(ControlOptions options, HostLinks& links, Metrics& metrics);
   void NoteHost(const proto::HostHello& hello, TimePoint now);
-  void FillReply(const std::string& from, const proto::HostHello& hello,
-                 proto::HelloReply& reply, TimePoint now) const;
+  void FillReply(const proto::HostHello& hello, proto::HelloReply& reply,
+                 TimePoint now) const;
   uint64_t DirectoryHash() const;
   void MaybeFound(TimePoint now);
   void MaybeFoundStores(TimePoint now);
@@ -92,6 +95,9 @@
   bool Retired(const std::string& host, TimePoint now) const;
   size_t StoresLeftWithout(const std::string& host, TimePoint now) const;
   void ForwardBackend(const proto::BackendRecord& record);
+  void OwnRates(TimePoint now);
+  void SendRateMessages();
+  std::optional<BucketTerms> TermsOf(const std::string& account);
   void RetryCalls(TimePoint now);
   void OnOwnAnswer(uint64_t call, const proto::ControlAnswer& answer);
   void FinishCall(uint64_t call, const proto::ControlAnswer& answer);
@@ -107,6 +113,9 @@
   TimePoint stores_changed_at_;
   size_t stores_seen_ = 0;
   TimePoint maintain_at_;
+  // The accounts of the catalog in force, for their rates.
+  std::unique_ptr<CatalogIndex> catalog_;
+  RateOwner rates_;
   uint64_t next_call_ = 1;
   std::map<uint64_t, PendingCall> calls_;
   Counter& hellos_;
--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -95,7 +95,9 @@
     options.seeds = settings_.seed_peers();
     options.first_start = settings_.first_start;
     options.tolerated_losses = settings_.tolerated_losses;
-    options.authority = authority;
+    options.decode_catalog = [this](const std::string& content) {
+      return control_protocol_.DecodeCatalog(content);
+    };
     auto control =
         ControlService::Open(options, *files_, *links_, metrics_, now);
     if (!control) {
@@ -139,6 +141,14 @@
                         });
           });
         });
+    rates_ = std::make_unique<RateKeeper>(
+        loop_, metrics_, [this](const proto::TokenRequest& request) {
+          PostControl([this, request] {
+            proto::FleetMessage message;
+            *message.mutable_token_request() = request;
+            links_->Send(member_->leader_host(), message);
+          });
+        });
     Gateway::Hooks hooks;
     hooks.stop_item = [this](const std::string& backend) {
       return items_->StopOneAt(backend);
@@ -148,7 +158,7 @@
                               const Route& route, const Account& account) {
       job_entry_->Submit(exchange, route, account);
     };
-    gateway_ = std::make_unique<Gateway>(*front_, std::move(hooks));
+    gateway_ = std::make_unique<Gateway>(*front_, *rates_, std::move(hooks));
     loop_.RunAt(loop_.now() + kItemReportInterval, [this] { ReportItems(); });
   }
   return {};
@@ -210,14 +220,6 @@
     });
   };
   callbacks.on_backends = [this] { PublishBackends(BootNow()); };
-  callbacks.on_shares = [this](const std::map<std::string, double>& shares) {
-    const auto fronts = member_->last_confirmed().live_fronts_size();
-    loop_.Post([this, shares, fronts] {
-      if (front_ != nullptr) {
-        front_->limiter.SetShares(shares, 1.0 / std::max(1, fronts));
-      }
-    });
-  };
   callbacks.fill_hello = [this](proto::HostHello& hello) { FillHello(hello); };
   return callbacks;
 }
@@ -254,11 +256,6 @@
     info.set_node(store_->node());
     *info.mutable_group() = store_->status();
   }
-  for (const auto& [account, per_s] : demand_) {
-    proto::AccountDemand& demand = *hello.add_demand();
-    demand.set_account(account);
-    demand.set_per_s(per_s);
-  }
 }
 
 // Tells the traffic thread which servers take work, and which of them have this
@@ -297,8 +294,9 @@
     backend.cold = record.cold_left_ms() > 0;
     usable.push_back(std::move(backend));
   }
-  loop_.Post([this, usable] {
+  loop_.Post([this, usable, count = all.size()] {
     front_->pool.SetUsable(usable);
+    rates_->SetFronts(count);
     PumpSoon();
   });
 }
@@ -446,7 +444,35 @@
       }
       return;
     default:
-      LogWarn("message_of_unknown_kind", {{"from", from}});
+      if (!HandleRates(from, message, now)) {
+        LogWarn("message_of_unknown_kind", {{"from", from}});
+      }
+  }
+}
+
+bool FleetHost::HandleRates(const std::string& from,
+                            const proto::FleetMessage& message, TimePoint now) {
+  switch (message.kind_case()) {
+    case proto::FleetMessage::kTokenRequest:
+      if (control_ != nullptr) {
+        control_->OnTokenRequest(from, message.token_request(), now);
+      }
+      return true;
+    case proto::FleetMessage::kTokenReply:
+      if (rates_ != nullptr) {
+        loop_.Post(
+            [this, reply = message.token_reply()] { rates_->OnReply(reply); });
+      }
+      return true;
+    case proto::FleetMessage::kTokenRecall:
+      if (rates_ != nullptr) {
+        loop_.Post([this, recall = message.token_recall()] {
+          rates_->OnRecall(recall);
+        });
+      }
+      return true;
+    default:
+      return false;
   }
 }
 
@@ -468,10 +494,8 @@
   busy_ = front_server_->busy();
   proto::ItemReport report;
   items_->Report(report);
-  const TimePoint now = loop_.now();
-  PostControl([this, report, demand = front_->limiter.Demand(now)] {
+  PostControl([this, report] {
     const TimePoint boot_now = BootNow();
-    demand_ = demand;
     jobs_->SendReport(report, boot_now);
     PublishBackends(boot_now);
   });
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -20,6 +20,7 @@
 #include "fleet/fleet_member.h"
 #include "fleet/fleet_settings.h"
 #include "gateway/gateway.h"
+#include "gateway/rate_keeper.h"
 #include "http/http_server.h"
 #include "jobs/item_runner.h"
 #include "jobs/job_client.h"
@@ -60,6 +61,8 @@
   void PublishBackends(TimePoint now);
   bool TakeCatalog(uint64_t version, const std::string& content);
   void FillHello(proto::HostHello& hello);
+  bool HandleRates(const std::string& from, const proto::FleetMessage& message,
+                   TimePoint now);
 
   // The traffic thread.
   void OnFrontRequest(const std::shared_ptr<HttpExchange>& exchange);
@@ -83,10 +86,10 @@
   std::unique_ptr<StoreService> store_;
   std::unique_ptr<JobClient> jobs_;
   std::vector<UsableBackend> published_;
-  std::map<std::string, double> demand_;
 
   EventLoop loop_;
   std::unique_ptr<FrontShared> front_;
+  std::unique_ptr<RateKeeper> rates_;
   std::unique_ptr<Gateway> gateway_;
   std::unique_ptr<ItemRunner> items_;
   std::unique_ptr<JobEntry> job_entry_;
--- a/src/fleet/fleet_member.cc
+++ b/src/fleet/fleet_member.cc
@@ -158,13 +158,6 @@
     authority_until_ = until;
     callbacks_.on_authority(until);
   }
-  if (reply.shares_size() > 0) {
-    std::map<std::string, double> shares;
-    for (const proto::AccountShare& share : reply.shares()) {
-      shares[share.account()] = share.share();
-    }
-    callbacks_.on_shares(shares);
-  }
 }
 
 }  // namespace sequoialb
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -37,7 +37,6 @@
         on_catalog;
     std::function<void(TimePoint until)> on_authority;
     std::function<void()> on_backends;
-    std::function<void(const std::map<std::string, double>&)> on_shares;
     // Adds what changes from greeting to greeting.
     std::function<void(proto::HostHello&)> fill_hello;
   };
--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -149,6 +149,20 @@
   return slots;
 }
 
+std::string BackendPool::Describe(const std::string& backend,
+                                  TimePoint now) const {
+  const auto found = loads_.find(backend);
+  if (found == loads_.end()) {
+    return "unknown";
+  }
+  const Load& load = found->second;
+  return "online=" + std::to_string(load.online) +
+         " items=" + std::to_string(load.items) +
+         " others=" + std::to_string(static_cast<int>(load.others)) +
+         " age_ms=" + std::to_string(RemainingMs(now, load.reported_at)) +
+         (load.backend.home ? " home" : " away");
+}
+
 void BackendPool::Sent(const std::string& backend, bool item) {
   Load& load = loads_[backend];
   ++(item ? load.items : load.online);
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -76,6 +76,10 @@
     double free = 0;
     double all = 0;
   };
+  // What is known of a server's load, for logs: own requests, own items, and
+  // others with the age of that report.
+  std::string Describe(const std::string& backend, TimePoint now) const;
+
   Slots SlotsOf(const std::string& service, TimePoint now) const;
 
  private:
--- a/src/gateway/front_view.h
+++ b/src/gateway/front_view.h
@@ -8,7 +8,6 @@
 
 #include "catalog/catalog.h"
 #include "fleet/boot_clock.h"
-#include "gateway/account_limiter.h"
 #include "gateway/backend_pool.h"
 #include "http/http_client.h"
 #include "observe/metrics.h"
@@ -36,7 +35,6 @@
   HttpClient client;
   FrontView view;
   BackendPool pool;
-  AccountLimiter limiter;
 
   FrontShared(EventLoop& event_loop, Metrics& all_metrics,
               const GatewayProtocol& spoken)
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -29,6 +29,10 @@
 constexpr int64_t kReturnMostMs = 1'500;
 constexpr int64_t kNoAuthorityReturnMs = 300;
 
+std::string WholeMs(Duration d) {
+  return std::to_string(std::chrono::duration_cast<milliseconds>(d).count());
+}
+
 std::string_view HostWithoutPort(std::string_view host) {
   return host.substr(0, host.find(':'));
 }
@@ -45,12 +49,15 @@
   CallerRequest caller;
   std::string service;
   TimePoint arrived_at;
+  TimePoint sent_at;
   TimePoint deadline;
   TimerId deadline_timer = 0;
   bool waiting = false;
 
   std::unique_ptr<HttpCall> call;
   std::string backend;
+  // A batch item gave its slot up for the present attempt.
+  bool item_stopped = false;
   uint32_t attempts = 0;
   std::set<std::string> avoid;
   // Bytes went to a server that has not said that it did not run the request.
@@ -65,8 +72,9 @@
   std::optional<uint64_t> last_event;
 };
 
-Gateway::Gateway(FrontShared& front, Hooks hooks)
+Gateway::Gateway(FrontShared& front, RateKeeper& rates, Hooks hooks)
     : front_(front),
+      rates_(rates),
       hooks_(std::move(hooks)),
       random_(Hash64(RandomHex(8))),
       started_(front.metrics.counter("sequoialb_requests_total")),
@@ -125,7 +133,6 @@
 
 void Gateway::Admit(const std::shared_ptr<HttpExchange>& exchange,
                     const Route& route, const Account* account) {
-  const TimePoint now = front_.loop.now();
   auto owned = std::make_unique<Request>();
   Request& request = *owned;
   request.number = next_request_++;
@@ -140,14 +147,6 @@
       std::min(route.timeout, request.caller.time_left.value_or(route.timeout));
   request.deadline = request.arrived_at + limit;
   requests_[request.number] = std::move(owned);
-  if (account != nullptr) {
-    if (const auto wait_s = front_.limiter.Take(*account, now)) {
-      End(request,
-          {ErrorCode::kRateLimited, "the account is over its rate",
-           RunState::kNotRun, static_cast<int64_t>(*wait_s * 1'000) + 1});
-      return;
-    }
-  }
   const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
   request.service = PickTarget(route, draw);
   request.deadline_timer = front_.loop.RunAt(
@@ -156,6 +155,30 @@
     caller_left_.Add();
     Finish(request, "caller_left");
   });
+  if (account == nullptr || account->rate <= 0) {
+    Dispatch(request);
+    return;
+  }
+  rates_.Take(*account, [this, number = request.number](
+                            const RateKeeper::Answer& answer) {
+    OnToken(number, answer);
+  });
+}
+
+void Gateway::OnToken(uint64_t number, const RateKeeper::Answer& answer) {
+  const auto found = requests_.find(number);
+  if (found == requests_.end()) {
+    return;
+  }
+  if (answer.taken) {
+    Dispatch(*found->second);
+    return;
+  }
+  End(*found->second, {ErrorCode::kRateLimited, "the account is over its rate",
+                       RunState::kNotRun, answer.retry_after_ms});
+}
+
+void Gateway::Dispatch(Request& request) {
   if (!TrySend(request)) {
     Wait(request);
   }
@@ -223,6 +246,8 @@
   waited_.Observe(now - request.arrived_at);
   ++request.attempts;
   request.backend = choice.backend;
+  request.sent_at = now;
+  request.item_stopped = choice.stop_item;
   request.may_have_run_before = request.may_have_run;
   request.may_have_run = true;
   front_.pool.Sent(choice.backend, false);
@@ -357,7 +382,18 @@
   } else if (head.framing == BodyFraming::kNone) {
     length = 0;
   }
-  first_event_.Observe(front_.loop.now() - request.arrived_at);
+  const TimePoint now = front_.loop.now();
+  first_event_.Observe(now - request.arrived_at);
+  if (now - request.arrived_at > request.route->objective) {
+    LogInfo("first_event_late",
+            {{"request", request.caller.id},
+             {"backend", request.backend},
+             {"wait_ms", WholeMs(request.sent_at - request.arrived_at)},
+             {"backend_ms", WholeMs(now - request.sent_at)},
+             {"attempts", std::to_string(request.attempts)},
+             {"item_stopped", request.item_stopped ? "yes" : "no"},
+             {"load", front_.pool.Describe(request.backend, now)}});
+  }
   request.exchange->Start(head.status, passed, length);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,7 +3,7 @@
 // goes on at another server where the route allows that.
 //
 // Belongs to the traffic thread. What decides stands apart: BackendPool chooses
-// the server, WaitingLine the order and the end of waiting, AccountLimiter the
+// the server, WaitingLine the order and the end of waiting, RateKeeper the
 // rate; this class carries their decisions out.
 #pragma once
 
@@ -16,6 +16,7 @@
 
 #include "gateway/event_cutter.h"
 #include "gateway/front_view.h"
+#include "gateway/rate_keeper.h"
 #include "gateway/refusal.h"
 #include "gateway/waiting_line.h"
 #include "http/http_server.h"
@@ -35,7 +36,7 @@
         submit_job;
   };
 
-  Gateway(FrontShared& front, Hooks hooks);
+  Gateway(FrontShared& front, RateKeeper& rates, Hooks hooks);
   ~Gateway();
 
   void OnRequest(const std::shared_ptr<HttpExchange>& exchange);
@@ -50,6 +51,8 @@
 
   void Admit(const std::shared_ptr<HttpExchange>& exchange, const Route& route,
              const Account* account);
+  void OnToken(uint64_t number, const RateKeeper::Answer& answer);
+  void Dispatch(Request& request);
   bool TrySend(Request& request);
   void Send(Request& request, const Choice& choice);
   std::string ForwardedBytes(const Request& request, const std::string& backend,
@@ -73,6 +76,7 @@
   void ArmPump();
 
   FrontShared& front_;
+  RateKeeper& rates_;
   Hooks hooks_;
   WaitingLine line_;
   std::mt19937_64 random_;
--- a/src/rates/loan_holder.h
+++ b/src/rates/loan_holder.h
@@ -54,6 +54,9 @@
   // Returns the requests and reports that are due. Call often.
   std::vector<TokenMessage> TakeMessages(TimePoint now);
 
+  // True when no account has tokens, tickets or reports.
+  bool idle() const { return loans_.empty(); }
+
  private:
   struct Ticket {
     uint64_t number = 0;
