Let fronts tell each other what they have under way; fill home servers first

Ruled out: waiting at the front (none), batch items at home (6 of 40). Change: counts between fronts on change, 30 ms apart at the least; servers at home fill up first, others need a spare slot.

--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -14,7 +14,10 @@
 
 constexpr milliseconds kControlTick{20};
 constexpr milliseconds kItemReportInterval{100};
-constexpr milliseconds kPublishInterval{250};
+// Fronts tell each other what they have under way when it has changed, and at
+// least this often.
+constexpr milliseconds kLoadInterval{30};
+constexpr milliseconds kLoadAtLeast{200};
 // Authority ends this much before a withdrawn key must have stopped working:
 // the time that a request may take on its way to a backend server.
 constexpr milliseconds kWithdrawalMargin{1'000};
@@ -160,6 +163,7 @@
     };
     gateway_ = std::make_unique<Gateway>(*front_, *rates_, std::move(hooks));
     loop_.RunAt(loop_.now() + kItemReportInterval, [this] { ReportItems(); });
+    loop_.RunAt(loop_.now() + kLoadInterval, [this] { ReportLoad(); });
   }
   return {};
 }
@@ -297,6 +301,7 @@
   loop_.Post([this, usable, count = all.size()] {
     front_->pool.SetUsable(usable);
     rates_->SetFronts(count);
+    front_->pool.SetPeers(count > 0 ? count - 1 : 0);
     PumpSoon();
   });
 }
@@ -438,6 +443,17 @@
         });
       }
       return;
+    case proto::FleetMessage::kFrontLoad:
+      if (front_ != nullptr) {
+        std::map<std::string, uint32_t> requests;
+        for (const auto& entry : message.front_load().loads()) {
+          requests[entry.backend()] = entry.requests();
+        }
+        loop_.Post([this, from, requests = std::move(requests)] {
+          front_->pool.PeerReported(from, requests, loop_.now());
+        });
+      }
+      return;
     case proto::FleetMessage::kItemTaken:
       if (jobs_ != nullptr) {
         jobs_->OnTaken(message.item_taken());
@@ -501,6 +517,31 @@
   });
 }
 
+void FleetHost::ReportLoad() {
+  const TimePoint now = loop_.now();
+  loop_.RunAt(now + kLoadInterval, [this] { ReportLoad(); });
+  std::map<std::string, uint32_t> own = front_->pool.OwnRequests();
+  if (own == told_load_ && now < told_at_ + kLoadAtLeast) {
+    return;
+  }
+  told_load_ = own;
+  told_at_ = now;
+  PostControl([this, own = std::move(own)] {
+    proto::FleetMessage message;
+    proto::FrontLoad& load = *message.mutable_front_load();
+    for (const auto& [backend, requests] : own) {
+      auto& entry = *load.add_loads();
+      entry.set_backend(backend);
+      entry.set_requests(requests);
+    }
+    for (const auto& front : member_->last_confirmed().live_fronts()) {
+      if (front.host() != settings_.host) {
+        links_->Send(front.host(), message);
+      }
+    }
+  });
+}
+
 void FleetHost::OnFrontRequest(const std::shared_ptr<HttpExchange>& exchange) {
   const auto job = gateway_protocol_.DecodeJobRequest(exchange->head());
   if (job) {
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -71,6 +71,7 @@
   void PassControlCall(const std::shared_ptr<HttpExchange>& exchange,
                        proto::ControlCall call, bool retire_status);
   void ReportItems();
+  void ReportLoad();
   void PumpSoon();
 
   FleetSettings settings_;
@@ -98,6 +99,8 @@
   std::unique_ptr<HttpServer> control_server_;
   std::unique_ptr<HttpServer> metrics_server_;
   bool pump_armed_ = false;
+  std::map<std::string, uint32_t> told_load_;
+  TimePoint told_at_;
 
   int wake_fd_ = -1;
   std::mutex mutex_;
--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -5,9 +5,11 @@
 namespace sequoialb {
 namespace {
 
-// A report of others' load counts in full for this long, then fades.
-constexpr milliseconds kReportFresh{400};
-constexpr milliseconds kReportEnds{2'000};
+// A server's own report counts in full for this long, then fades.
+constexpr milliseconds kReportFresh{50};
+constexpr milliseconds kReportEnds{1'500};
+// Another front's word counts for this long; it comes every 200 ms at least.
+constexpr milliseconds kPeerFresh{600};
 // Slots of a server that batch items leave free, for online requests.
 constexpr double kItemReserve = 1;
 // A failing server is left alone this long, doubled with each failure.
@@ -15,11 +17,15 @@
 constexpr uint32_t kAvoidDoublings = 4;
 // A server that said it was full is left alone this long.
 constexpr milliseconds kFullPause{60};
-// What a server away from home must have more of free slots, as a part of its
-// slots, to be chosen before one at home.
-constexpr double kAwayCost = 0.10;
-constexpr double kOtherDomainCost = 0.15;
-constexpr double kColdCost = 0.50;
+// Order of choice: home servers, those of the own domain, all others. Within a
+// step, the emptiest. Cold servers come last in their step.
+constexpr double kAwayStep = 10;
+constexpr double kOtherDomainStep = 20;
+constexpr double kColdCost = 5;
+// Slots that a server away from home must have free, so that requests that
+// other fronts have just sent there find room.
+constexpr double kAwaySpare = 1;
+constexpr double kOtherDomainSpare = 1;
 
 }  // namespace
 
@@ -39,19 +45,28 @@
   }
 }
 
-double BackendPool::Others(const Load& load, TimePoint now) {
-  const auto age = now - load.reported_at;
-  if (age <= kReportFresh) {
-    return load.others;
+double BackendPool::Others(const Load& load, TimePoint now) const {
+  double told = 0;
+  size_t fresh = 0;
+  for (const auto& [front, peer] : front_loads_) {
+    if (now - peer.reported_at > kPeerFresh) {
+      continue;
+    }
+    ++fresh;
+    const auto found = peer.requests.find(load.backend.id);
+    told += found == peer.requests.end() ? 0 : found->second;
   }
-  if (age >= kReportEnds) {
-    return 0;
+  const auto age = now - load.reported_at;
+  double reported = load.others;
+  if (age > kReportFresh) {
+    const double left =
+        ToSeconds(kReportEnds - age) / ToSeconds(kReportEnds - kReportFresh);
+    reported = fresh >= peers_ ? 0 : load.others * std::max(0.0, left);
   }
-  return load.others * ToSeconds(kReportEnds - age) /
-         ToSeconds(kReportEnds - kReportFresh);
+  return std::max(told, reported);
 }
 
-double BackendPool::Busy(const Load& load, TimePoint now) {
+double BackendPool::Busy(const Load& load, TimePoint now) const {
   return static_cast<double>(load.online + load.items) + Others(load, now);
 }
 
@@ -68,7 +83,17 @@
     }
     const auto slots = static_cast<double>(load.backend.slots);
     const double busy = Busy(load, now);
-    if (busy + 1 > slots + 0.5) {
+    double spare = 0;
+    double cost = busy / slots;
+    if (!load.backend.own_domain) {
+      spare = kOtherDomainSpare;
+      cost += kOtherDomainStep;
+    } else if (!load.backend.home) {
+      spare = kAwaySpare;
+      cost += kAwayStep;
+    }
+    cost += load.backend.cold ? kColdCost : 0;
+    if (busy + 1 + spare > slots) {
       const bool fits =
           load.items > 0 && busy - static_cast<double>(load.items) + 1 <= slots;
       if (fits && (stoppable == nullptr || load.items > stoppable->items)) {
@@ -76,9 +101,6 @@
       }
       continue;
     }
-    const double cost = busy / slots + (load.backend.home ? 0 : kAwayCost) +
-                        (load.backend.own_domain ? 0 : kOtherDomainCost) +
-                        (load.backend.cold ? kColdCost : 0);
     if (best == nullptr || cost < best_cost) {
       best = &load;
       best_cost = cost;
@@ -95,6 +117,22 @@
   return Choice{best->backend.id, best->backend.address, false};
 }
 
+void BackendPool::PeerReported(const std::string& front,
+                               std::map<std::string, uint32_t> requests,
+                               TimePoint now) {
+  front_loads_[front] = {now, std::move(requests)};
+}
+
+std::map<std::string, uint32_t> BackendPool::OwnRequests() const {
+  std::map<std::string, uint32_t> own;
+  for (const auto& [id, load] : loads_) {
+    if (load.online + load.items > 0) {
+      own[id] = load.online + load.items;
+    }
+  }
+  return own;
+}
+
 std::optional<Choice> BackendPool::ChooseItem(const std::string& service,
                                               TimePoint now) const {
   const Load* best = nullptr;
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -2,14 +2,16 @@
 // server for the next request.
 //
 // Load pattern: servers admit in order of arrival and know no priorities, and
-// several fronts send to each. A front counts its own requests exactly and
-// takes what others have there from the load that servers report beside their
-// answers; a report ages, and counts for nothing after two seconds. Each server
-// has one front as its home, which alone runs batch items there, so that a
-// burst of online requests finds those items where it can stop them at once.
-// Servers of the own failure domain go first when they have room. A server that
-// cannot be reached or breaks answers is left alone for a while that doubles.
-// A pure state machine.
+// several fronts send to each in bursts. A front counts its own requests
+// exactly, and fronts tell each other theirs many times a second. What a server
+// reports beside its answers comes with the answer's first event, up to a
+// second after a burst has gone out, so it only counts when no front's word is
+// at hand. Each server has one front as its home, which alone runs batch items
+// there, so that a burst of online requests finds those items where it can stop
+// them at once. A server is as quick full as empty, so home servers fill up
+// first, then the own failure domain's, then others with room to spare. A
+// server that cannot be reached or breaks answers is left alone for a while
+// that doubles. A pure state machine.
 #pragma once
 
 #include <cstdint>
@@ -66,6 +68,14 @@
 
   void Reported(const std::string& backend, const BackendLoad& load,
                 TimePoint now);
+  // Takes what another front has under way, by server.
+  void PeerReported(const std::string& front,
+                    std::map<std::string, uint32_t> requests, TimePoint now);
+  // How many other fronts there are.
+  void SetPeers(size_t peers) { peers_ = peers; }
+  // What this front has under way, by server.
+  std::map<std::string, uint32_t> OwnRequests() const;
+
   // The server refused because it was full.
   void Full(const std::string& backend, TimePoint now);
   void Failed(const std::string& backend, TimePoint now);
@@ -95,10 +105,17 @@
     uint32_t failures = 0;
   };
 
-  static double Others(const Load& load, TimePoint now);
-  static double Busy(const Load& load, TimePoint now);
+  struct Peer {
+    TimePoint reported_at;
+    std::map<std::string, uint32_t> requests;
+  };
+
+  double Others(const Load& load, TimePoint now) const;
+  double Busy(const Load& load, TimePoint now) const;
 
   std::map<std::string, Load> loads_;
+  std::map<std::string, Peer> front_loads_;
+  size_t peers_ = 0;
 };
 
 }  // namespace sequoialb
