--- a/src/fleet/fleet_settings.cc
+++ b/src/fleet/fleet_settings.cc
@@ -71,9 +71,12 @@
   if (settings.front && !settings.ready) {
     reader.Refuse("ready", "a front needs an address for the balancer");
   }
-  const Status read = reader.Finish();
-  if (!read) {
-    return tl::unexpected<Error>(read.error());
+  const auto unknown = reader.FinishIgnoringUnknown();
+  if (!unknown) {
+    return tl::unexpected<Error>(unknown.error());
+  }
+  for (const std::string& name : *unknown) {
+    LogWarn("setting_ignored", {{"name", name}, {"file", origin}});
   }
   return settings;
 }
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -37,13 +37,14 @@
  public:
   ClientConnection(HttpClient& client, const Address& address)
       : client_(client),
+        loop_(client.loop_),
         address_(address.ToString()),
         stream_(client.loop_, address,
                 {.on_input = [this] { OnInput(); },
                  .on_end = [this](StreamEnd end) { OnEnd(end); },
                  .on_connected = [this] { OnConnected(); }}) {}
 
-  ~ClientConnection() { client_.loop_.Cancel(timer_); }
+  ~ClientConnection() { loop_.Cancel(timer_); }
 
   const std::string& address() const { return address_; }
 
@@ -54,7 +55,7 @@
     stray_ = false;
     head_.reset();
     if (!stream_.connected()) {
-      timer_ = client_.loop_.RunAt(options_.connect_deadline, [this] {
+      timer_ = loop_.RunAt(options_.connect_deadline, [this] {
         timer_ = 0;
         Fail(CallFailure::kUnreachable);
       });
@@ -70,10 +71,10 @@
   }
 
   void Close() {
-    client_.loop_.Cancel(timer_);
+    loop_.Cancel(timer_);
     timer_ = 0;
     stream_.Close();
-    client_.loop_.Dispose(shared_from_this());
+    loop_.Dispose(shared_from_this());
   }
 
   void Pause(bool paused) {
@@ -84,7 +85,7 @@
 
  private:
   void OnConnected() {
-    client_.loop_.Cancel(timer_);
+    loop_.Cancel(timer_);
     timer_ = 0;
   }
 
@@ -185,7 +186,7 @@
                         milliseconds(static_cast<int64_t>(
                             static_cast<double>(*limit) * 1'000 * kIdleShare)));
       }
-      client_.Keep(shared_from_this(), client_.loop_.now() + keep);
+      client_.Keep(shared_from_this(), loop_.now() + keep);
     } else {
       client_.unclean_.Add();
       Close();
@@ -194,7 +195,7 @@
   }
 
   void OnEnd(StreamEnd end) {
-    client_.loop_.Cancel(timer_);
+    loop_.Cancel(timer_);
     timer_ = 0;
     if (!active_) {
       client_.Drop(this);
@@ -221,6 +222,8 @@
   }
 
   HttpClient& client_;
+  // A connection may outlive its client by the rest of the loop's turn.
+  EventLoop& loop_;
   std::string address_;
   TcpStream stream_;
   TimerId timer_ = 0;
@@ -245,7 +248,13 @@
       stray_(metrics.counter("sequoialb_backend_stray_answers_total")),
       unclean_(metrics.counter("sequoialb_backend_unclean_total")) {}
 
-HttpClient::~HttpClient() = default;
+HttpClient::~HttpClient() {
+  for (const auto& [address, connections] : idle_) {
+    for (const Idle& idle : connections) {
+      idle.connection->Close();
+    }
+  }
+}
 
 std::unique_ptr<HttpCall> HttpClient::Start(const Address& address,
                                             CallOptions options,
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -24,6 +24,7 @@
  public:
   HttpConnection(HttpServer& server, Poco::Net::StreamSocket socket)
       : server_(server),
+        loop_(server.loop_),
         stream_(server.loop_, std::move(socket),
                 {.on_input = [this] { OnInput(); },
                  .on_end = [this](StreamEnd) { OnEnd(); },
@@ -32,7 +33,7 @@
   }
 
   ~HttpConnection() {
-    server_.loop_.Cancel(timer_);
+    loop_.Cancel(timer_);
     DropExchange();
   }
 
@@ -75,7 +76,7 @@
       return;
     }
     // In a later step, so that answers made at once do not recurse.
-    server_.loop_.Post([weak = weak_from_this()] {
+    loop_.Post([weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
         self->stream_.PauseInput(false);
         self->OnInput();
@@ -105,9 +106,8 @@
   }
 
   void ArmTimer(milliseconds wait) {
-    server_.loop_.Cancel(timer_);
-    timer_ = server_.loop_.RunAt(server_.loop_.now() + wait,
-                                 [this] { OnTimeout(); });
+    loop_.Cancel(timer_);
+    timer_ = loop_.RunAt(loop_.now() + wait, [this] { OnTimeout(); });
   }
 
   void OnTimeout() {
@@ -195,10 +195,10 @@
     if (decoder_->state() != BodyDecoder::State::kDone) {
       return;
     }
-    server_.loop_.Cancel(timer_);
+    loop_.Cancel(timer_);
     timer_ = 0;
-    exchange_ = std::make_shared<HttpExchange>(
-        this, std::move(*head_), std::move(body_), server_.loop_.now());
+    exchange_ = std::make_shared<HttpExchange>(this, std::move(*head_),
+                                               std::move(body_), loop_.now());
     head_.reset();
     decoder_.reset();
     body_ = {};
@@ -258,6 +258,8 @@
   }
 
   HttpServer& server_;
+  // A connection may outlive its server by the rest of the loop's turn.
+  EventLoop& loop_;
   TcpStream stream_;
   TimerId timer_ = 0;
   std::optional<RequestHead> head_;
--- a/src/settings/json_fields.cc
+++ b/src/settings/json_fields.cc
@@ -240,6 +240,19 @@
   }
 }
 
+Result<std::vector<std::string>> FieldReader::FinishIgnoringUnknown() {
+  if (shared_->error) {
+    return tl::unexpected<Error>(*shared_->error);
+  }
+  std::vector<std::string> unknown;
+  for (const std::string& name : value_->getMemberNames()) {
+    if (read_.count(name) == 0) {
+      unknown.push_back(name);
+    }
+  }
+  return unknown;
+}
+
 Status FieldReader::Finish() {
   RefuseUnknown();
   if (shared_->error) {
--- a/src/settings/json_fields.h
+++ b/src/settings/json_fields.h
@@ -86,6 +86,10 @@
   // Returns the first problem of this reader and all that came from it.
   Status Finish();
 
+  // The same, for texts in which newer programs may know more: returns the
+  // names of fields that nothing read instead of refusing them.
+  Result<std::vector<std::string>> FinishIgnoringUnknown();
+
  private:
   struct Shared {
     const JsonDocument* document = nullptr;
--- /dev/null
+++ b/test/correctness/fleet_test.cc
@@ -0,0 +1,311 @@
+// What a deployment that finds its members by itself believes of backend
+// servers, catalogs, members and settings.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+
+#include "catalog/catalog.h"
+#include "fleet/backend_registry.h"
+#include "fleet/control_state.h"
+#include "fleet/fleet_settings.h"
+#include "group/membership_planner.h"
+
+namespace sequoialb {
+namespace {
+
+const TimePoint kNow = TimePoint(seconds(1'000));
+
+proto::BackendRecord Record(const std::string& id, int64_t started,
+                            uint64_t sequence,
+                            const std::string& address = "10.0.0.1:80") {
+  proto::BackendRecord record;
+  record.set_id(id);
+  record.set_service("s");
+  record.set_address(address);
+  record.set_slots(8);
+  record.set_started_unix_ms(started);
+  record.set_sequence(sequence);
+  return record;
+}
+
+TEST(BackendRegistry, IgnoresLateWords) {
+  BackendRegistry registry(1);
+  EXPECT_TRUE(registry.Announce(Record("a", 100, 5), kNow));
+  proto::BackendRecord leaving = Record("a", 100, 6);
+  leaving.set_leaving(true);
+  EXPECT_TRUE(registry.Announce(leaving, kNow));
+  // A late word from before does not bring it back.
+  EXPECT_FALSE(registry.Announce(Record("a", 100, 5), kNow));
+  proto::HelloReply reply;
+  registry.FillChanges(0, 0, reply, kNow);
+  ASSERT_EQ(reply.backends_size(), 1);
+  EXPECT_TRUE(reply.backends(0).leaving());
+}
+
+TEST(BackendRegistry, AGoneServerStaysGoneUntilItStartsAgain) {
+  BackendRegistry registry(1);
+  registry.Announce(Record("a", 100, 5), kNow);
+  registry.Leave("a", 150, kNow);
+  EXPECT_FALSE(registry.Announce(Record("a", 100, 9), kNow));
+  EXPECT_TRUE(registry.Announce(Record("a", 200, 1), kNow));
+}
+
+TEST(BackendRegistry, SendsOnlyChanges) {
+  BackendRegistry registry(7);
+  registry.Announce(Record("a", 100, 1), kNow);
+  proto::HelloReply first;
+  registry.FillChanges(7, 0, first, kNow);
+  registry.Announce(Record("b", 100, 1, "10.0.0.2:80"), kNow);
+  proto::HelloReply second;
+  registry.FillChanges(7, first.registry_cursor(), second, kNow);
+  ASSERT_EQ(second.backends_size(), 1);
+  EXPECT_EQ(second.backends(0).id(), "b");
+  // A registry that started again sends all.
+  proto::HelloReply other;
+  registry.FillChanges(6, first.registry_cursor(), other, kNow);
+  EXPECT_EQ(other.backends_size(), 2);
+}
+
+std::vector<std::string> UsableIds(const BackendDirectory& directory,
+                                   TimePoint now, bool silence_counts = true) {
+  std::vector<std::string> ids;
+  for (const KnownBackend* known : directory.Usable(now, silence_counts)) {
+    ids.push_back(known->record.id());
+  }
+  return ids;
+}
+
+TEST(BackendDirectory, AnAddressBelongsToWhoStartedThereLast) {
+  BackendDirectory directory;
+  directory.Merge(Record("new", 200, 1), kNow);
+  // A word of the dead former owner, delayed by a partition.
+  directory.Merge(Record("old", 100, 99), kNow);
+  EXPECT_EQ(UsableIds(directory, kNow), std::vector<std::string>{"new"});
+}
+
+TEST(BackendDirectory, DropsTheSilentOnlyWhileInContact) {
+  BackendDirectory directory;
+  directory.Merge(Record("a", 100, 1), kNow);
+  EXPECT_EQ(UsableIds(directory, kNow + seconds(20)).size(), 0U);
+  EXPECT_EQ(UsableIds(directory, kNow + seconds(20), false).size(), 1U);
+}
+
+TEST(BackendDirectory, MergesWordsOfSeveralControlHosts) {
+  BackendDirectory directory;
+  directory.Merge(Record("a", 100, 8), kNow);
+  EXPECT_FALSE(directory.Merge(Record("a", 100, 3), kNow));
+  BackendRegistry unaware(1);
+  // A control host that never heard the server passes its farewell on.
+  EXPECT_TRUE(directory.Merge(unaware.Leave("a", 150, kNow), kNow));
+  EXPECT_TRUE(UsableIds(directory, kNow).empty());
+}
+
+Catalog SmallCatalog() {
+  Catalog catalog;
+  catalog.version = 3;
+  catalog.services.push_back({"s", "/health", 10, 8});
+  Route route;
+  route.name = "r";
+  route.host = "h";
+  route.path_prefix = "/a/";
+  route.timeout = milliseconds(100);
+  route.targets = {{"s", 1}};
+  catalog.routes.push_back(route);
+  catalog.accounts.push_back({"one", {"k1", "k2"}, {}, 5, 5});
+  return catalog;
+}
+
+TEST(Catalog, AcceptsASoundOne) {
+  EXPECT_TRUE(CheckCatalog(SmallCatalog()).has_value());
+}
+
+TEST(Catalog, RefusesEachKindOfMistake) {
+  const auto refused = [](const std::function<void(Catalog&)>& spoil) {
+    Catalog catalog = SmallCatalog();
+    spoil(catalog);
+    return !CheckCatalog(catalog).has_value();
+  };
+  EXPECT_TRUE(
+      refused([](Catalog& c) { c.routes[0].targets[0].service = "x"; }));
+  EXPECT_TRUE(refused([](Catalog& c) { c.routes.push_back(c.routes[0]); }));
+  EXPECT_TRUE(refused([](Catalog& c) { c.routes[0].targets[0].weight = 0; }));
+  EXPECT_TRUE(refused([](Catalog& c) { c.routes[0].targets.clear(); }));
+  EXPECT_TRUE(
+      refused([](Catalog& c) { c.routes[0].timeout = milliseconds(0); }));
+  EXPECT_TRUE(refused([](Catalog& c) {
+    c.accounts.push_back({"two", {"k2"}, {}, 0, 0});
+  }));
+}
+
+TEST(Catalog, FindsTheLongestPrefix) {
+  Catalog catalog = SmallCatalog();
+  Route longer = catalog.routes[0];
+  longer.name = "longer";
+  longer.path_prefix = "/a/b/";
+  catalog.routes.push_back(longer);
+  const CatalogIndex index(std::move(catalog));
+  EXPECT_EQ(index.FindRoute("h", "/a/b/c")->name, "longer");
+  EXPECT_EQ(index.FindRoute("h", "/a/bc")->name, "r");
+  EXPECT_EQ(index.FindRoute("h", "/ab/"), nullptr);
+  EXPECT_EQ(index.FindRoute("other", "/a/"), nullptr);
+  EXPECT_EQ(index.FindAccount("k2")->name, "one");
+  EXPECT_EQ(index.FindAccount("k3"), nullptr);
+}
+
+std::string PutCommand(uint64_t version, const std::string& content) {
+  proto::ControlCommand command;
+  command.mutable_put_catalog()->set_version(version);
+  command.mutable_put_catalog()->set_content(content);
+  return command.SerializeAsString();
+}
+
+TEST(ControlState, OnlyAHigherVersionChangesTheCatalog) {
+  ControlState state;
+  EXPECT_TRUE(state.Apply(PutCommand(5, "five")).has_value());
+  EXPECT_TRUE(state.Apply(PutCommand(4, "four")).has_value());
+  EXPECT_TRUE(state.Apply(PutCommand(5, "other five")).has_value());
+  EXPECT_EQ(state.catalog(), "five");
+  ControlState loaded;
+  ASSERT_TRUE(loaded.Load(state.Save()).has_value());
+  EXPECT_EQ(loaded.catalog(), "five");
+  EXPECT_EQ(loaded.catalog_version(), 5U);
+}
+
+// Planning of membership.
+class Planning : public ::testing::Test {
+ protected:
+  void Hear(const std::string& host, const std::string& disk,
+            const std::string& domain, milliseconds ago = milliseconds(0)) {
+    input_.candidates[host] = {host + "@" + disk, domain, kNow - ago};
+  }
+  void SetUp() override {
+    input_.now = kNow;
+    input_.leader = "a@1";
+    input_.most_voters = 3;
+    for (const char* node : {"a@1", "b@1", "c@1"}) {
+      input_.membership.add_voters(node);
+    }
+    Hear("a", "1", "d1");
+    Hear("b", "1", "d2");
+    Hear("c", "1", "d3");
+  }
+  // Applies plans until nothing is left to do.
+  void Settle() {
+    for (int i = 0; i < 10; ++i) {
+      const auto next = PlanMembership(input_);
+      if (!next) {
+        return;
+      }
+      int changed = 0;
+      for (const std::string& voter : next->voters()) {
+        changed += Has(input_.membership.voters(), voter) ? 0 : 1;
+      }
+      for (const std::string& voter : input_.membership.voters()) {
+        changed += Has(next->voters(), voter) ? 0 : 1;
+      }
+      EXPECT_LE(changed, 1);
+      input_.membership = *next;
+      input_.caught_up = {next->learners().begin(), next->learners().end()};
+    }
+    FAIL() << "the plan does not settle";
+  }
+  static bool Has(const google::protobuf::RepeatedPtrField<std::string>& names,
+                  const std::string& name) {
+    return std::find(names.begin(), names.end(), name) != names.end();
+  }
+  bool Votes(const std::string& node) {
+    return Has(input_.membership.voters(), node);
+  }
+
+  PlannerInput input_;
+};
+
+TEST_F(Planning, LeavesASoundGroupAlone) {
+  EXPECT_FALSE(PlanMembership(input_).has_value());
+}
+
+TEST_F(Planning, AnEmptiedDiskComesBackAsALearnerFirst) {
+  Hear("c", "2", "d3");
+  const auto first = PlanMembership(input_);
+  ASSERT_TRUE(first.has_value());
+  EXPECT_FALSE(Has(first->voters(), "c@1"));
+  EXPECT_FALSE(Has(first->voters(), "c@2"));
+  Settle();
+  EXPECT_TRUE(Votes("c@2"));
+  EXPECT_EQ(input_.membership.voters_size(), 3);
+}
+
+TEST_F(Planning, AReplacedHostGivesItsVoteToItsSuccessor) {
+  Hear("c", "1", "d3", milliseconds(10'000));
+  Hear("e", "1", "d3");
+  Settle();
+  EXPECT_TRUE(Votes("e@1"));
+  EXPECT_FALSE(Votes("c@1"));
+}
+
+TEST_F(Planning, AVoterThatIsAwayIsKeptWithoutAStandIn) {
+  Hear("c", "1", "d3", milliseconds(60'000));
+  EXPECT_FALSE(PlanMembership(input_).has_value());
+}
+
+TEST_F(Planning, AnAddedHostOnlyLearns) {
+  Hear("e", "1", "d4");
+  Settle();
+  EXPECT_EQ(input_.membership.voters_size(), 3);
+  EXPECT_TRUE(Has(input_.membership.learners(), "e@1"));
+}
+
+TEST_F(Planning, ARetiredHostLeavesOnceAnotherStandsIn) {
+  Hear("e", "1", "d4");
+  Settle();
+  input_.retiring = {"b"};
+  Settle();
+  EXPECT_FALSE(Votes("b@1"));
+  EXPECT_TRUE(Votes("e@1"));
+  EXPECT_EQ(input_.membership.voters_size(), 3);
+}
+
+TEST(PickFounders, SpreadsOverDomainsAndPicksAnOddNumber) {
+  const std::vector<GroupCandidate> candidates = {{"a@1", "d1", kNow},
+                                                  {"b@1", "d1", kNow},
+                                                  {"c@1", "d2", kNow},
+                                                  {"d@1", "d3", kNow}};
+  const auto picked = PickFounders(candidates, 5);
+  ASSERT_EQ(picked.size(), 3U);
+  EXPECT_EQ(std::count(picked.begin(), picked.end(), "c@1"), 1);
+  EXPECT_EQ(std::count(picked.begin(), picked.end(), "d@1"), 1);
+}
+
+TEST(FleetSettings, ReadsAHost) {
+  const auto settings = ParseFleetSettings(
+      R"({"host": "a", "failure_domain": "d", "peer": "10.0.0.1:7000",
+          "duties": ["store"], "data_folder": "/data", "front": "",
+          "seeds": ["10.0.0.2:80"], "withdrawal_ms": 5000, // new fields come
+          "unknown": 1})",
+      "test");
+  ASSERT_TRUE(settings.has_value()) << settings.error().detail;
+  EXPECT_TRUE(settings->store);
+  EXPECT_FALSE(settings->front.has_value());
+  EXPECT_EQ(settings->seed_peers()[0].ToString(), "10.0.0.2:7000");
+}
+
+TEST(FleetSettings, NamesWhatIsWrong) {
+  for (const char* text :
+       {R"({"failure_domain": "d", "peer": "10.0.0.1:7000"})",
+        R"({"host": "a", "failure_domain": "d", "peer": "nowhere"})",
+        R"({"host": "a", "failure_domain": "d", "peer": "10.0.0.1:7000",
+            "duties": ["store"]})",
+        R"({"host": "a", "failure_domain": "d", "peer": "10.0.0.1:7000",
+            "front": "10.0.0.1:80"})",
+        R"({"host": "a", "failure_domain": "d", "peer": "10.0.0.1:7000",
+            "withdrawal_ms": "soon"})",
+        R"({"host": )"}) {
+    const auto settings = ParseFleetSettings(text, "test");
+    ASSERT_FALSE(settings.has_value()) << text;
+    EXPECT_NE(settings.error().detail.find("test"), std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace sequoialb
--- /dev/null
+++ b/test/correctness/gateway_decisions_test.cc
@@ -0,0 +1,195 @@
+// Waiting and placing under the load patterns that the decisions answer,
+// replayed on virtual time.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <queue>
+
+#include "gateway/backend_pool.h"
+#include "gateway/waiting_line.h"
+
+namespace sequoialb {
+namespace {
+
+const TimePoint kStart = TimePoint(seconds(1'000));
+
+TimePoint At(int64_t ms) { return kStart + milliseconds(ms); }
+
+UsableBackend Server(const std::string& id, bool own_domain, bool home,
+                     uint32_t slots = 8) {
+  return {id, "s", {"127.0.0.1", 1}, own_domain, home, slots, false};
+}
+
+TEST(BackendPool, FillsHomeThenOwnDomainThenOthers) {
+  BackendPool pool;
+  pool.SetUsable({Server("far", false, false), Server("home", true, true),
+                  Server("near", true, false)});
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 24; ++i) {
+    const auto choice = pool.ChooseOnline("s", {}, At(0));
+    if (!choice) {
+      break;
+    }
+    ++sent[choice->backend];
+    pool.Sent(choice->backend, false);
+  }
+  EXPECT_EQ(sent["home"], 8);
+  // Away from home a slot is left for what others have just sent.
+  EXPECT_EQ(sent["near"], 7);
+  EXPECT_EQ(sent["far"], 7);
+}
+
+TEST(BackendPool, AnItemAtHomeGivesWayBeforeARequestGoesFar) {
+  BackendPool pool;
+  pool.SetUsable({Server("far", false, false), Server("home", true, true)});
+  for (int i = 0; i < 7; ++i) {
+    pool.Sent("home", false);
+  }
+  pool.Sent("home", true);
+  const auto choice = pool.ChooseOnline("s", {}, At(0));
+  ASSERT_TRUE(choice.has_value());
+  EXPECT_EQ(choice->backend, "home");
+  EXPECT_TRUE(choice->stop_item);
+}
+
+TEST(BackendPool, ItemsLeaveASlotAndStayAtHome) {
+  BackendPool pool;
+  pool.SetUsable({Server("far", false, false), Server("home", true, true)});
+  EXPECT_EQ(pool.ItemRoom(At(0)), 7U);
+  size_t started = 0;
+  while (const auto choice = pool.ChooseItem("s", At(0))) {
+    EXPECT_EQ(choice->backend, "home");
+    pool.Sent(choice->backend, true);
+    ++started;
+  }
+  EXPECT_EQ(started, 7U);
+}
+
+// Step burst: two fronts send to one server away from home within the second
+// before its answers say how full it is.
+TEST(BackendPool, AnotherFrontsWordKeepsABurstFromOneServer) {
+  BackendPool pool;
+  pool.SetUsable({Server("a", true, false), Server("b", true, false)});
+  pool.SetPeers(1);
+  pool.PeerReported("front-2", {{"a", 7}}, At(0));
+  for (int i = 0; i < 7; ++i) {
+    const auto choice = pool.ChooseOnline("s", {}, At(30));
+    ASSERT_TRUE(choice.has_value());
+    EXPECT_EQ(choice->backend, "b");
+    pool.Sent("b", false);
+  }
+  EXPECT_FALSE(pool.ChooseOnline("s", {}, At(30)).has_value());
+  // The word of a front that fell silent ends.
+  EXPECT_TRUE(pool.ChooseOnline("s", {}, At(1'000)).has_value());
+}
+
+// Half of the servers gone: those that fail are left alone, longer each time,
+// and taken back.
+TEST(BackendPool, LeavesFailingServersAlone) {
+  BackendPool pool;
+  pool.SetUsable({Server("bad", true, true), Server("good", true, false)});
+  pool.Failed("bad", At(0));
+  EXPECT_EQ(pool.ChooseOnline("s", {}, At(100))->backend, "good");
+  EXPECT_EQ(pool.ChooseOnline("s", {}, At(300))->backend, "bad");
+  pool.Failed("bad", At(300));
+  EXPECT_EQ(pool.ChooseOnline("s", {}, At(700))->backend, "good");
+  EXPECT_EQ(pool.ChooseOnline("s", {}, At(850))->backend, "bad");
+  pool.Succeeded("bad");
+  pool.Failed("bad", At(900));
+  EXPECT_EQ(pool.ChooseOnline("s", {}, At(1'200))->backend, "bad");
+}
+
+TEST(BackendPool, AvoidsTriedServersAndOtherServices) {
+  BackendPool pool;
+  pool.SetUsable({Server("a", true, true)});
+  EXPECT_FALSE(pool.ChooseOnline("s", {"a"}, At(0)).has_value());
+  EXPECT_FALSE(pool.ChooseOnline("other", {}, At(0)).has_value());
+  EXPECT_TRUE(pool.Serves("s", At(0)));
+  pool.SetUsable({});
+  EXPECT_FALSE(pool.Serves("s", At(0)));
+}
+
+WaitingRequest Waiting(uint64_t number, int64_t arrived_ms,
+                       const std::string& account = "a") {
+  WaitingRequest request;
+  request.request = number;
+  request.service = "s";
+  request.account = account;
+  request.in_time_until = At(arrived_ms + 260);
+  request.hopeless_at = At(arrived_ms + 600);
+  return request;
+}
+
+TEST(WaitingLine, ThoseWhoCanBeInTimeGoFirst) {
+  WaitingLine line;
+  line.Add(Waiting(1, 0));
+  line.Add(Waiting(2, 200));
+  line.Add(Waiting(3, 210));
+  EXPECT_EQ(line.Order(At(220)), (std::vector<uint64_t>{1, 2, 3}));
+  EXPECT_EQ(line.Order(At(300)), (std::vector<uint64_t>{2, 3, 1}));
+}
+
+// One account at many times the others' number: they take turns.
+TEST(WaitingLine, AccountsTakeTurns) {
+  WaitingLine line;
+  for (uint64_t i = 0; i < 10; ++i) {
+    line.Add(Waiting(i, 0, "large"));
+  }
+  line.Add(Waiting(100, 5, "small"));
+  const auto order = line.Order(At(10));
+  EXPECT_EQ(order[1], 100U);
+}
+
+TEST(WaitingLine, RefusesTheHopelessAtOnce) {
+  WaitingLine line;
+  line.Add(Waiting(1, 0));
+  line.Add(Waiting(2, 300));
+  EXPECT_TRUE(line.TakeHopeless(At(599)).empty());
+  EXPECT_EQ(line.TakeHopeless(At(600)), std::vector<uint64_t>{1});
+  EXPECT_EQ(line.size(), 1U);
+}
+
+// Replays an overload of twice the slots for two seconds on 8 slots of 700 ms
+// and counts those served in time. First come, first served keeps everybody
+// waiting past the objective; the line serves as many as slots allow.
+size_t ServedInTime(bool first_come) {
+  WaitingLine line;
+  std::map<uint64_t, int64_t> arrived;
+  std::priority_queue<int64_t, std::vector<int64_t>, std::greater<>> busy;
+  size_t in_time = 0;
+  uint64_t number = 0;
+  for (int64_t now = 0; now < 6'000; now += 5) {
+    while (!busy.empty() && busy.top() <= now) {
+      busy.pop();
+    }
+    if (now < 4'000 && now % 45 == 0) {
+      arrived[number] = now;
+      line.Add(Waiting(number, now));
+      ++number;
+    }
+    if (!first_come) {
+      line.TakeHopeless(At(now));
+    }
+    auto order = line.Order(At(now));
+    if (first_come) {
+      std::sort(order.begin(), order.end());
+    }
+    for (const uint64_t next : order) {
+      if (busy.size() == 8) {
+        break;
+      }
+      busy.push(now + 700);
+      line.Remove(next);
+      in_time += now - arrived[next] <= 260 ? 1 : 0;
+    }
+  }
+  return in_time;
+}
+
+TEST(WaitingLine, ServesMoreInTimeUnderOverloadThanFirstCome) {
+  EXPECT_GT(ServedInTime(false), 40U);
+  EXPECT_LT(ServedInTime(true), 25U);
+}
+
+}  // namespace
+}  // namespace sequoialb
--- /dev/null
+++ b/test/correctness/http_client_test.cc
@@ -0,0 +1,213 @@
+// Calls to backend servers that misbehave: no byte of one answer gets into
+// another, and a connection is used again only after a clean exchange.
+#include "http/http_client.h"
+
+#include <gtest/gtest.h>
+
+#include "../fakes/raw_sockets.h"
+
+namespace sequoialb {
+namespace {
+
+using fakes::LoopThread;
+using fakes::RawServer;
+
+struct Outcome {
+  int status = 0;
+  std::string body;
+  bool complete = false;
+  std::optional<CallFailure> failure;
+};
+
+class HttpClientTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    thread_.Run([this] {
+      client_ = std::make_unique<HttpClient>(thread_.loop(), metrics_);
+    });
+  }
+  void TearDown() override {
+    thread_.Run([this] { client_.reset(); });
+  }
+
+  Outcome Call(const Address& address, const std::string& id,
+               const std::string& body = "") {
+    Outcome outcome;
+    std::promise<void> ended;
+    std::unique_ptr<HttpCall> call;
+    thread_.loop().Post([&] {
+      CallOptions options;
+      options.request = "POST /a HTTP/1.1\r\nHost: h\r\nId: " + id +
+                        "\r\nContent-Length: " + std::to_string(body.size()) +
+                        "\r\n\r\n" + body;
+      options.echo_header = "Id";
+      options.echo_value = id;
+      options.most_idle = milliseconds(60'000);
+      options.connect_deadline = thread_.loop().now() + milliseconds(2'000);
+      CallEvents events;
+      events.on_head = [&](const ResponseHead& head) {
+        outcome.status = head.status;
+      };
+      events.on_data = [&](std::string_view data) { outcome.body += data; };
+      events.on_complete = [&] {
+        outcome.complete = true;
+        ended.set_value();
+      };
+      events.on_failure = [&](CallFailure failure) {
+        outcome.failure = failure;
+        ended.set_value();
+      };
+      call = client_->Start(address, std::move(options), std::move(events));
+    });
+    ended.get_future().wait();
+    thread_.Run([&] { call.reset(); });
+    return outcome;
+  }
+
+  uint64_t Opened() {
+    return metrics_.counter("sequoialb_backend_connections_total").value();
+  }
+
+  Metrics metrics_;
+  LoopThread thread_;
+  std::unique_ptr<HttpClient> client_;
+};
+
+std::string Answer(const std::string& id, const std::string& body,
+                   const std::string& fields = "") {
+  return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string IdOf(const std::string& request) {
+  const size_t at = request.find("Id: ") + 4;
+  return request.substr(at, request.find('\r', at) - at);
+}
+
+// Answers every request on a connection through `reply`.
+RawServer::Script Replies(
+    std::function<std::string(const std::string&)> reply) {
+  return [reply = std::move(reply)](Poco::Net::StreamSocket& socket, int) {
+    while (true) {
+      const std::string request = RawServer::ReadRequest(socket);
+      if (request.empty()) {
+        return;
+      }
+      RawServer::Write(socket, reply(IdOf(request)));
+    }
+  };
+}
+
+TEST_F(HttpClientTest, KeepsACleanConnection) {
+  RawServer server(
+      Replies([](const std::string& id) { return Answer(id, "for " + id); }));
+  EXPECT_EQ(Call(server.address(), "a").body, "for a");
+  EXPECT_EQ(Call(server.address(), "b").body, "for b");
+  EXPECT_EQ(Opened(), 1U);
+  thread_.Run([&] { client_->Forget(server.address()); });
+}
+
+TEST_F(HttpClientTest, ReadsPastAnAnswerToAnotherRequest) {
+  RawServer server(Replies([](const std::string& id) {
+    return Answer("earlier", "not yours") + Answer(id, "for " + id);
+  }));
+  const Outcome outcome = Call(server.address(), "a");
+  EXPECT_TRUE(outcome.complete);
+  EXPECT_EQ(outcome.body, "for a");
+  // Such a connection is not used again.
+  EXPECT_EQ(Call(server.address(), "b").body, "for b");
+  EXPECT_EQ(Opened(), 2U);
+}
+
+TEST_F(HttpClientTest, DropsAConnectionWithBytesBehindTheAnswer) {
+  RawServer server(Replies([](const std::string& id) {
+    return Answer(id, "for " + id) + Answer(id, "again");
+  }));
+  EXPECT_EQ(Call(server.address(), "a").body, "for a");
+  EXPECT_EQ(Call(server.address(), "b").body, "for b");
+  EXPECT_EQ(Opened(), 2U);
+}
+
+TEST_F(HttpClientTest, HonoursConnectionClose) {
+  RawServer server(Replies([](const std::string& id) {
+    return Answer(id, "x", "Connection: close\r\n");
+  }));
+  Call(server.address(), "a");
+  Call(server.address(), "b");
+  EXPECT_EQ(Opened(), 2U);
+}
+
+TEST_F(HttpClientTest, TakesAnAnswerThatEndsWithItsConnection) {
+  RawServer server([](Poco::Net::StreamSocket& socket, int) {
+    RawServer::ReadRequest(socket);
+    RawServer::Write(socket, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole");
+    socket.shutdownSend();
+    char c = 0;
+    socket.receiveBytes(&c, 1);
+  });
+  const Outcome outcome = Call(server.address(), "a");
+  EXPECT_TRUE(outcome.complete);
+  EXPECT_EQ(outcome.body, "whole");
+}
+
+TEST_F(HttpClientTest, AResetAnswerIsNotComplete) {
+  RawServer server([](Poco::Net::StreamSocket& socket, int) {
+    RawServer::ReadRequest(socket);
+    RawServer::Write(socket, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart");
+    socket.setLinger(true, 0);
+  });
+  const Outcome outcome = Call(server.address(), "a");
+  EXPECT_FALSE(outcome.complete);
+  EXPECT_EQ(outcome.failure, CallFailure::kBroken);
+}
+
+TEST_F(HttpClientTest, ACutOffAnswerIsBroken) {
+  for (const char* answer :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\npart",
+        "HTTP/1.1 200 OK\r\nConten", "bytes that are no answer\r\n\r\n", ""}) {
+    RawServer server([&](Poco::Net::StreamSocket& socket, int) {
+      RawServer::ReadRequest(socket);
+      RawServer::Write(socket, answer);
+    });
+    const Outcome outcome = Call(server.address(), "a");
+    EXPECT_EQ(outcome.failure, CallFailure::kBroken) << answer;
+  }
+}
+
+TEST_F(HttpClientTest, ClosesAfterAnAnswerThatCameBeforeTheBody) {
+  const std::string large(8U << 20U, 'x');
+  RawServer server([&](Poco::Net::StreamSocket& socket, int number) {
+    if (number > 0) {
+      const std::string request = RawServer::ReadRequest(socket);
+      RawServer::Write(socket, Answer(IdOf(request), "second"));
+      return;
+    }
+    char head[512];
+    socket.receiveBytes(head, sizeof(head));
+    RawServer::Write(socket, Answer("a", "early"));
+    // Reads on only later: what comes must not be another request.
+    char rest[65536];
+    std::string got;
+    int size = 0;
+    while ((size = socket.receiveBytes(rest, sizeof(rest))) > 0) {
+      got.append(rest, static_cast<size_t>(size));
+    }
+    EXPECT_EQ(got.find("POST"), std::string::npos);
+  });
+  EXPECT_EQ(Call(server.address(), "a", large).body, "early");
+  EXPECT_EQ(Call(server.address(), "b").body, "second");
+  EXPECT_EQ(Opened(), 2U);
+}
+
+TEST_F(HttpClientTest, TellsAnUnreachableServerApart) {
+  uint16_t port = 0;
+  {
+    Poco::Net::ServerSocket closed(Poco::Net::SocketAddress("127.0.0.1", 0));
+    port = closed.address().port();
+  }
+  EXPECT_EQ(Call({"127.0.0.1", port}, "a").failure, CallFailure::kUnreachable);
+}
+
+}  // namespace
+}  // namespace sequoialb
--- /dev/null
+++ b/test/correctness/jobs_test.cc
@@ -0,0 +1,224 @@
+// Batch jobs: what is accepted stays, results keep their positions, and items
+// are with one front at a time.
+#include <gtest/gtest.h>
+
+#include "jobs/item_board.h"
+#include "jobs/job_table.h"
+
+namespace sequoialb {
+namespace {
+
+TimePoint At(int64_t ms) {
+  return TimePoint(seconds(1'000)) + milliseconds(ms);
+}
+
+proto::JobRecord Job(const std::string& id, int items, uint64_t tokens = 10,
+                     int64_t due_ms = 18'000) {
+  proto::JobRecord job;
+  job.set_id(id);
+  job.set_account("acct");
+  job.set_route_host("h");
+  job.set_attempts(3);
+  job.set_due_ms(due_ms);
+  job.set_token_cap(100);
+  for (int i = 0; i < items; ++i) {
+    proto::JobItem& item = *job.add_items();
+    item.set_id(id + "-" + std::to_string(i));
+    item.set_body("body " + std::to_string(i));
+    item.set_tokens(tokens);
+  }
+  return job;
+}
+
+std::string Submit(const proto::JobRecord& job) {
+  proto::StoreCommand command;
+  *command.mutable_submit() = job;
+  return command.SerializeAsString();
+}
+
+std::string Done(const std::string& job, const std::string& item,
+                 const std::string& output, bool dead = false) {
+  proto::StoreCommand command;
+  command.mutable_done()->set_job(job);
+  command.mutable_done()->set_item(item);
+  command.mutable_done()->set_output(output);
+  command.mutable_done()->set_dead(dead);
+  return command.SerializeAsString();
+}
+
+TEST(JobTable, AcceptsOnceAndAgain) {
+  JobTable table;
+  EXPECT_TRUE(table.Apply(Submit(Job("j", 2))).has_value());
+  EXPECT_TRUE(table.Apply(Submit(Job("j", 2))).has_value());
+  EXPECT_EQ(table.jobs().size(), 1U);
+  proto::JobRecord other = Job("j", 2);
+  other.set_account("other");
+  EXPECT_EQ(table.Apply(Submit(other)).error().code, ErrorCode::kConflict);
+}
+
+TEST(JobTable, CapsTheWaitingTokensOfAnAccount) {
+  JobTable table;
+  EXPECT_TRUE(table.Apply(Submit(Job("a", 6))).has_value());
+  EXPECT_EQ(table.Apply(Submit(Job("b", 5))).error().code,
+            ErrorCode::kRateLimited);
+  EXPECT_EQ(table.Find("b"), nullptr);
+  EXPECT_TRUE(table.Apply(Done("a", "a-0", "x")).has_value());
+  EXPECT_TRUE(table.Apply(Submit(Job("b", 5))).has_value());
+  // A resend of what was accepted is never refused.
+  EXPECT_TRUE(table.Apply(Submit(Job("a", 6))).has_value());
+}
+
+TEST(JobTable, AResultKeepsItsPositionAndContent) {
+  JobTable table;
+  ASSERT_TRUE(table.Apply(Submit(Job("j", 3))).has_value());
+  ASSERT_TRUE(table.Apply(Done("j", "j-2", "two")).has_value());
+  ASSERT_TRUE(table.Apply(Done("j", "j-0", "", true)).has_value());
+  ASSERT_TRUE(table.Apply(Done("j", "j-2", "other")).has_value());
+  ASSERT_TRUE(table.Apply(Done("j", "j-0", "late")).has_value());
+  const KeptJob& job = *table.Find("j");
+  ASSERT_EQ(job.listed, (std::vector<uint32_t>{2, 0}));
+  EXPECT_EQ(job.items[2].output, "two");
+  EXPECT_TRUE(job.items[0].dead);
+  EXPECT_EQ(job.items[1].item.body(), "body 1");
+  JobTable loaded;
+  ASSERT_TRUE(loaded.Load(table.Save()).has_value());
+  EXPECT_EQ(loaded.Find("j")->listed, job.listed);
+  EXPECT_EQ(loaded.Find("j")->items[2].output, "two");
+  EXPECT_EQ(loaded.Save(), table.Save());
+}
+
+class ItemBoardTest : public ::testing::Test {
+ protected:
+  void SetUp() override { board_.Lead(At(0)); }
+  proto::ItemOffers Report(const std::string& front, TimePoint now,
+                           uint32_t room,
+                           const std::vector<proto::ItemName>& in_hand = {}) {
+    proto::ItemReport report;
+    for (const auto& name : in_hand) {
+      *report.add_in_hand() = name;
+    }
+    if (room > 0) {
+      report.add_room()->set_items(room);
+    }
+    proto::ItemOffers offers;
+    board_.OnReport(front, report, now, offers);
+    return offers;
+  }
+  static proto::ItemName NameOf(const proto::ItemOffer& offer) {
+    proto::ItemName name;
+    name.set_job(offer.job());
+    name.set_item(offer.item().id());
+    name.set_attempt(offer.attempt());
+    return name;
+  }
+  void Accept(const proto::JobRecord& job) {
+    ASSERT_TRUE(table_.Apply(Submit(job)).has_value());
+  }
+
+  JobTable table_;
+  ItemBoard board_{table_};
+};
+
+TEST_F(ItemBoardTest, ANewLeaderListensFirst) {
+  Accept(Job("j", 1));
+  EXPECT_EQ(Report("f1", At(100), 5).offers_size(), 0);
+  EXPECT_EQ(Report("f1", At(800), 5).offers_size(), 1);
+}
+
+TEST_F(ItemBoardTest, AnItemThatRunsIsNotStartedAgainByANewLeader) {
+  Accept(Job("j", 1));
+  proto::ItemName running;
+  running.set_job("j");
+  running.set_item("j-0");
+  running.set_attempt(7);
+  Report("f1", At(100), 0, {running});
+  EXPECT_EQ(Report("f2", At(800), 5).offers_size(), 0);
+}
+
+TEST_F(ItemBoardTest, GivesOutByDueTimeAndRoom) {
+  Accept(Job("late", 2, 10, 30'000));
+  Accept(Job("soon", 2, 10, 5'000));
+  const auto offers = Report("f1", At(800), 3);
+  ASSERT_EQ(offers.offers_size(), 3);
+  EXPECT_EQ(offers.offers(0).job(), "soon");
+  EXPECT_EQ(offers.offers(1).job(), "soon");
+  EXPECT_EQ(offers.offers(2).job(), "late");
+  // The rest goes to another, once.
+  EXPECT_EQ(Report("f2", At(810), 3).offers_size(), 1);
+}
+
+TEST_F(ItemBoardTest, ASilentFrontLosesItsItems) {
+  Accept(Job("j", 1));
+  ASSERT_EQ(Report("f1", At(800), 1).offers_size(), 1);
+  board_.Tick(At(2'000));
+  EXPECT_EQ(Report("f2", At(2'000), 1).offers_size(), 0);
+  board_.Tick(At(2'400));
+  const auto offers = Report("f2", At(2'400), 1);
+  ASSERT_EQ(offers.offers_size(), 1);
+  // The first front is told to stop when it comes back.
+  proto::ItemName old = NameOf(offers.offers(0));
+  old.set_attempt(old.attempt() - 1);
+  EXPECT_EQ(Report("f1", At(2'500), 0, {old}).stop_size(), 1);
+}
+
+TEST_F(ItemBoardTest, ALostOfferIsMadeAgain) {
+  Accept(Job("j", 1));
+  ASSERT_EQ(Report("f1", At(800), 1).offers_size(), 1);
+  EXPECT_EQ(Report("f1", At(900), 1).offers_size(), 0);
+  EXPECT_EQ(Report("f1", At(1'500), 1).offers_size(), 1);
+}
+
+// A burst takes an item's slot: it goes on later where it was.
+TEST_F(ItemBoardTest, AReturnedItemKeepsItsProgress) {
+  Accept(Job("j", 1));
+  const auto first = Report("f1", At(800), 1);
+  proto::ItemOutcome outcome;
+  *outcome.mutable_name() = NameOf(first.offers(0));
+  outcome.set_output("one\ntwo");
+  outcome.set_last_event(2);
+  outcome.set_has_last_event(true);
+  board_.Returned("f1", outcome, At(900));
+  const auto second = Report("f2", At(1'000), 1);
+  ASSERT_EQ(second.offers_size(), 1);
+  EXPECT_EQ(second.offers(0).output(), "one\ntwo");
+  EXPECT_EQ(second.offers(0).last_event(), 2U);
+  EXPECT_GT(second.offers(0).attempt(), first.offers(0).attempt());
+}
+
+// An item that fails at each run ends after its attempts.
+TEST_F(ItemBoardTest, AnItemThatAlwaysFailsEnds) {
+  Accept(Job("j", 1));
+  int64_t now = 800;
+  uint32_t failures = 0;
+  for (int run = 1;; ++run) {
+    ASSERT_LE(run, 3);
+    const auto offers = Report("f1", At(now), 1);
+    ASSERT_EQ(offers.offers_size(), 1);
+    proto::ItemOutcome outcome;
+    *outcome.mutable_name() = NameOf(offers.offers(0));
+    if (board_.Failed(outcome, At(now)) == ItemBoard::Verdict::kDead) {
+      EXPECT_EQ(run, 3);
+      break;
+    }
+    proto::StoreCommand command;
+    command.mutable_failed()->set_job("j");
+    command.mutable_failed()->set_item("j-0");
+    command.mutable_failed()->set_failures(++failures);
+    ASSERT_TRUE(table_.Apply(command.SerializeAsString()).has_value());
+    now += 400;
+  }
+}
+
+TEST_F(ItemBoardTest, AnEndedJobStops) {
+  Accept(Job("j", 2));
+  const auto offers = Report("f1", At(800), 1);
+  proto::StoreCommand end;
+  end.set_end_job("j");
+  ASSERT_TRUE(table_.Apply(end.SerializeAsString()).has_value());
+  const auto after = Report("f1", At(900), 5, {NameOf(offers.offers(0))});
+  EXPECT_EQ(after.stop_size(), 1);
+  EXPECT_EQ(after.offers_size(), 0);
+}
+
+}  // namespace
+}  // namespace sequoialb
--- /dev/null
+++ b/test/correctness/platform_adapter_test.cc
@@ -0,0 +1,192 @@
+// The platform's formats, decoded; and each thing that must be refused.
+#include <gtest/gtest.h>
+
+#include "platform/control_adapter.h"
+#include "platform/gateway_adapter.h"
+#include "platform/json_values.h"
+
+namespace sequoialb::platform {
+namespace {
+
+RequestHead Head(const std::string& line, const std::string& fields = "") {
+  return *ParseRequestHead(line + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n");
+}
+
+constexpr char kConfig[] = R"({"Version":7,"Routes":[
+ {"Name":"r","Host":"h","PathPrefix":"/a/","Kind":"stream","TimeoutMs":5000,
+  "SloMs":300,"Priority":0,"Service":"s","Attempts":2,"Public":false,
+  "Resumable":true,"GapTargetMs":400},
+ {"Name":"b","Host":"h","PathPrefix":"/b/","Kind":"bulk","TimeoutMs":15000,
+  "SloMs":400,"Split":[{"Service":"s","Weight":90},{"Service":"s","Weight":10}],
+  "Attempts":3,"DueMs":18000,"MaxWaitS":60.5,"Cap":1000}],
+ "Services":[{"Name":"s","HealthPath":"/health","MaxConns":300,
+  "Engine":{"Slots":8,"Cap":12}}],
+ "Limits":{"MaxHeaderBytes":1000,"MaxBodyBytes":2000,"HeaderTimeoutMs":3000,
+  "IdleTimeoutMs":15000},
+ "Tenants":[{"Name":"t","ApiKeys":["k1","k2"],"RatePerS":47,"Burst":40}]})";
+
+TEST(ControlAdapter, DecodesAConfiguration) {
+  const auto catalog = ControlAdapter().DecodeCatalog(kConfig);
+  ASSERT_TRUE(catalog.has_value()) << catalog.error().detail;
+  EXPECT_EQ(catalog->version, 7U);
+  ASSERT_EQ(catalog->routes.size(), 2U);
+  EXPECT_EQ(catalog->routes[0].kind, RouteKind::kStream);
+  EXPECT_TRUE(catalog->routes[0].resumable);
+  EXPECT_EQ(catalog->routes[1].kind, RouteKind::kBatch);
+  EXPECT_EQ(catalog->routes[1].give_up, milliseconds(60'500));
+  EXPECT_EQ(catalog->routes[1].token_cap, 1'000U);
+  EXPECT_EQ(catalog->services[0].slots, 8U);
+  EXPECT_EQ(catalog->accounts[0].burst, 40);
+  EXPECT_EQ(catalog->limits.max_body_bytes, 2'000U);
+}
+
+TEST(ControlAdapter, RefusesWhatCannotBeReadInFull) {
+  const std::string whole = kConfig;
+  const ControlAdapter adapter;
+  for (const size_t size :
+       std::vector<size_t>{0, 1, 50, 400, whole.size() / 2, whole.size() - 1}) {
+    EXPECT_FALSE(adapter.DecodeCatalog(whole.substr(0, size)).has_value());
+  }
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"Version\":7", "\"Version\":\"7\""},
+           {"\"TimeoutMs\":5000", "\"TimeoutMs\":-1"},
+           {"\"ApiKeys\":[\"k1\"", "\"ApiKeys\":[1"},
+           {"\"Weight\":90", "\"Weight\":\"90\""},
+           {"\"Routes\":[", "\"Routes\":[1,"}}) {
+    std::string spoilt = whole;
+    spoilt.replace(spoilt.find(from), from.size(), to);
+    EXPECT_FALSE(adapter.DecodeCatalog(spoilt).has_value()) << to;
+  }
+}
+
+TEST(ControlAdapter, DecodesAnnouncements) {
+  const ControlAdapter adapter;
+  const auto request = adapter.Decode(
+      Head("PUT /sequoialb/instances/i-1"),
+      R"({"Service":"s","Addr":"10.0.0.9:80","Zone":"z","Version":"v1",
+          "Slots":8,"State":"draining","ColdLeftMs":0,"Seq":4,"born":99})");
+  ASSERT_TRUE(request.has_value()) << request.error().detail;
+  const auto& record = std::get<AnnounceBackend>(*request).record;
+  EXPECT_EQ(record.id(), "i-1");
+  EXPECT_TRUE(record.leaving());
+  EXPECT_EQ(record.started_unix_ms(), 99);
+}
+
+TEST(ControlAdapter, RefusesAnnouncementsOfAnotherWriter) {
+  const ControlAdapter adapter;
+  for (const char* body :
+       {"", "\xff\xfe", "[]", "{}",
+        R"({"Service":"s","Addr":"10.0.0.9:80","Zone":"z","Slots":8,"Seq":4,
+            "State":"odd"})",
+        R"({"Service":"s","Addr":"nowhere","Zone":"z","Slots":8,"Seq":4,
+            "State":"ready"})",
+        R"({"Service":1,"Addr":"10.0.0.9:80","Zone":"z","Slots":8,"Seq":4,
+            "State":"ready"})",
+        R"({"Service":"s","Addr":"10.0.0.9:80","Zone":"z","Slots":"8","Seq":4,
+            "State":"ready"})"}) {
+    EXPECT_FALSE(
+        adapter.Decode(Head("PUT /sequoialb/instances/i-1"), body).has_value())
+        << body;
+  }
+}
+
+TEST(ControlAdapter, KnowsItsCalls) {
+  const ControlAdapter adapter;
+  const auto is = [&](const std::string& line) {
+    return adapter.Decode(Head(line), "").value().index();
+  };
+  EXPECT_EQ(is("GET /sequoialb/config"), ControlRequest(ReadCatalog()).index());
+  EXPECT_EQ(is("DELETE /sequoialb/instances/x"),
+            ControlRequest(BackendLeaves()).index());
+  EXPECT_EQ(is("POST /sequoialb/retire/x"),
+            ControlRequest(RetireHost()).index());
+  EXPECT_EQ(is("GET /sequoialb/retire/x"),
+            ControlRequest(AskRetired()).index());
+  EXPECT_EQ(adapter.Decode(Head("GET /other"), "").error().code,
+            ErrorCode::kNotFound);
+}
+
+TEST(GatewayAdapter, SetsItsOwnHeadersAndKeepsTheRest) {
+  const GatewayAdapter adapter;
+  const RequestHead head =
+      Head("POST /a/x",
+           "Request-Id: r1\r\nKey: secret\r\nTenant: forged\r\n"
+           "Deadline-Ms: 900\r\nExpect-Instance: i-0\r\nModel: m\r\n"
+           "Token-Count: 10,20\r\nPrompt-Prefix: ab:8,cd:2\r\n"
+           "Connection: X-Hop\r\nX-Hop: 1\r\nContent-Length: 3\r\n");
+  const CallerRequest request = adapter.DecodeRequest(head);
+  EXPECT_EQ(request.id, "r1");
+  EXPECT_EQ(request.key, "secret");
+  EXPECT_EQ(request.time_left, milliseconds(900));
+  EXPECT_EQ(request.prompt_tokens, 10U);
+  EXPECT_EQ(request.output_tokens, 20U);
+  EXPECT_EQ(request.session, "cd");
+  ForwardFields fields;
+  fields.id = "r1";
+  fields.backend = "i-7";
+  fields.account = "t";
+  fields.time_left_ms = 850;
+  const HttpHeaders out = adapter.ForwardHeaders(head.headers, fields);
+  EXPECT_EQ(out.Find("Key"), nullptr);
+  EXPECT_EQ(out.Find("X-Hop"), nullptr);
+  EXPECT_EQ(out.Find("Content-Length"), nullptr);
+  EXPECT_EQ(out.Count("Tenant"), 1U);
+  EXPECT_EQ(*out.Find("Tenant"), "t");
+  EXPECT_EQ(*out.Find("Deadline-Ms"), "850");
+  EXPECT_EQ(out.Count("Expect-Instance"), 1U);
+  EXPECT_EQ(*out.Find("Expect-Instance"), "i-7");
+  EXPECT_EQ(*out.Find("Model"), "m");
+  EXPECT_EQ(*out.Find("Prompt-Prefix"), "ab:8,cd:2");
+}
+
+TEST(GatewayAdapter, ReadsWhatAServerSays) {
+  const GatewayAdapter adapter;
+  const auto answer = adapter.DecodeAnswer(*ParseResponseHead(
+      "HTTP/1.1 503 No\r\nNot-Run: 1\r\nServer-Load: 3,1,8\r\n\r\n"));
+  EXPECT_TRUE(answer.not_run);
+  EXPECT_EQ(answer.load->running, 3U);
+  EXPECT_EQ(answer.load->waiting, 1U);
+  EXPECT_TRUE(
+      adapter
+          .DecodeAnswer(*ParseResponseHead("HTTP/1.1 421 Misdirected\r\n\r\n"))
+          .other_server);
+}
+
+TEST(GatewayAdapter, DecodesBatchCalls) {
+  const GatewayAdapter adapter;
+  const auto read =
+      adapter.DecodeJobRequest(Head("GET /sequoialb/lots/j1?After=12"));
+  EXPECT_EQ(std::get<ReadJob>(*read).after, 12U);
+  const auto body =
+      adapter.DecodeJobRequest(Head("GET /sequoialb/items/j1?Id=i1"));
+  EXPECT_EQ(std::get<ReadItemBody>(*body).item, "i1");
+  EXPECT_TRUE(std::holds_alternative<EndJob>(
+      *adapter.DecodeJobRequest(Head("DELETE /sequoialb/lots/j1"))));
+  EXPECT_FALSE(adapter.DecodeJobRequest(Head("POST /a/x")).has_value());
+  const RequestHead submit = Head("POST /b/j1", "Request-Id: j1\r\n");
+  const auto record = adapter.DecodeSubmission(
+      submit, R"({"Items":[{"Id":"i1","Path":"/b/1","Headers":{"Model":"m"},
+                  "Body":"q83vEjRWeJA=","Tokens":940}]})");
+  ASSERT_TRUE(record.has_value()) << record.error().detail;
+  EXPECT_EQ(record->items(0).body().size(), 8U);
+  for (const char* bad : {"", "{}", R"({"Items":[{}]})", R"({"Items":[1]})"}) {
+    EXPECT_FALSE(adapter.DecodeSubmission(submit, bad).has_value()) << bad;
+  }
+}
+
+TEST(GatewayAdapter, WritesResults) {
+  proto::JobAnswer answer;
+  answer.set_total(2);
+  answer.set_next(1);
+  proto::JobResult& result = *answer.add_results();
+  result.set_id("i1");
+  result.set_output("a\nb");
+  const auto value = ParseObject(GatewayAdapter().EncodeResults(answer));
+  ASSERT_TRUE(value.has_value());
+  EXPECT_EQ((*value)["Results"][0]["State"].asString(), "complete");
+  EXPECT_EQ((*value)["Results"][0]["Output"].asString(), "a\nb");
+}
+
+}  // namespace
+}  // namespace sequoialb::platform
--- /dev/null
+++ b/test/fuzz/http_fuzz.cc
@@ -0,0 +1,122 @@
+// The HTTP reader and the event cutter under arbitrary bytes and splits.
+#include <rapidcheck.h>
+
+#include "gateway/event_cutter.h"
+#include "http/message.h"
+
+namespace sequoialb {
+namespace {
+
+// Arbitrary heads, made mostly of the pieces that matter.
+std::string DrawHead() {
+  const auto pieces = *rc::gen::container<std::vector<std::string>>(
+      rc::gen::elementOf(std::vector<std::string>{"GET",
+                                                  "POST",
+                                                  " ",
+                                                  "/",
+                                                  "/a",
+                                                  "HTTP/1.1",
+                                                  "HTTP/1.0",
+                                                  "\r\n",
+                                                  "\n",
+                                                  "Host: h",
+                                                  "Content-Length: 5",
+                                                  "Content-Length",
+                                                  ":",
+                                                  "5",
+                                                  "+5",
+                                                  "Transfer-Encoding: chunked",
+                                                  "chunked",
+                                                  "\t",
+                                                  "\x01",
+                                                  "x",
+                                                  "\r",
+                                                  "Connection: close",
+                                                  "200",
+                                                  "OK"}));
+  std::string head;
+  for (const std::string& piece : pieces) {
+    head += piece;
+  }
+  return head + "\r\n\r\n";
+}
+
+void NeverReadsAnAmbiguousHead() {
+  const auto head = ParseRequestHead(DrawHead());
+  if (head) {
+    RC_ASSERT(head->headers.Count("Content-Length") +
+                  head->headers.Count("Transfer-Encoding") <=
+              1U);
+    RC_ASSERT(head->headers.Count("Host") == 1U);
+  }
+  (void)ParseResponseHead(DrawHead());
+}
+
+void ChunksDoNotDependOnSplits() {
+  const auto parts = *rc::gen::container<std::vector<std::string>>(
+      rc::gen::nonEmpty(rc::gen::string<std::string>()));
+  std::string wire;
+  std::string expected;
+  for (const std::string& part : parts) {
+    AppendChunk(wire, part);
+    expected += part;
+  }
+  wire += "0\r\n\r\n";
+  const std::string behind = *rc::gen::string<std::string>();
+  const std::string all = wire + behind;
+  BodyDecoder decoder(BodyFraming::kChunked, 0);
+  std::string body;
+  size_t used = 0;
+  while (used < all.size() && decoder.state() == BodyDecoder::State::kMore) {
+    const size_t size = *rc::gen::inRange<size_t>(1, 20);
+    const size_t taken =
+        decoder.Feed(std::string_view(all).substr(used, size), body);
+    used += taken;
+  }
+  RC_ASSERT(decoder.state() == BodyDecoder::State::kDone);
+  RC_ASSERT(body == expected);
+  RC_ASSERT(used == wire.size());
+}
+
+void EventsDoNotDependOnSplits() {
+  const int count = *rc::gen::inRange(0, 8);
+  std::string wire;
+  for (int i = 0; i < count; ++i) {
+    wire += "id: " + std::to_string(i) + "\r\ndata: text " + std::to_string(i) +
+            "\n\n";
+  }
+  const std::string partial = *rc::gen::element<std::string>("", "id: 99\n");
+  wire += partial;
+  EventCutter cutter;
+  std::string raw;
+  int seen = 0;
+  size_t at = 0;
+  while (at < wire.size()) {
+    const size_t size = *rc::gen::inRange<size_t>(1, 9);
+    cutter.Add(std::string_view(wire).substr(at, size));
+    at += size;
+    while (auto event = cutter.Next()) {
+      RC_ASSERT(event->id == static_cast<uint64_t>(seen));
+      RC_ASSERT(event->data == "text " + std::to_string(seen));
+      raw += event->raw;
+      ++seen;
+    }
+  }
+  RC_ASSERT(seen == count);
+  RC_ASSERT(raw + partial == wire);
+  RC_ASSERT(cutter.partial() == !partial.empty());
+}
+
+}  // namespace
+}  // namespace sequoialb
+
+int main() {
+  using namespace sequoialb;  // NOLINT(google-build-using-namespace)
+  bool good =
+      rc::check("never reads an ambiguous head", NeverReadsAnAmbiguousHead);
+  good &=
+      rc::check("chunks do not depend on splits", ChunksDoNotDependOnSplits);
+  good &=
+      rc::check("events do not depend on splits", EventsDoNotDependOnSplits);
+  return good ? 0 : 1;
+}
