Yield items to other fronts' waiting requests; leave silent servers; recover faster

Authority ends 0.25 s before a withdrawal must bind, not 1 s: a request is checked after it was sent, so only the clocks' rates are uncertain. Tests first failing: ItemsYieldToAnotherFrontsWaitingRequests, ARequestPressedForTime..., ANewLeaderWaitsForThoseItHasNotHeardYet, AVoterTooManyLearnsAgain.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -48,6 +48,9 @@
   milliseconds timeout{0};
   // Until the answer, or a stream's first event.
   milliseconds objective{0};
+  // The longest pause between events of a stream that is in time; 0 when the
+  // route has none.
+  milliseconds gap_target{0};
   // 0 is the most urgent.
   int priority = 0;
   // Backend servers that one request may be sent to.
--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -18,9 +18,9 @@
 // least this often.
 constexpr milliseconds kLoadInterval{30};
 constexpr milliseconds kLoadAtLeast{200};
-// Authority ends this much before a withdrawn key must have stopped working:
-// the time that a request may take on its way to a backend server.
-constexpr milliseconds kWithdrawalMargin{1'000};
+// Authority ends this much before a withdrawn key must have stopped working,
+// for clocks that do not run alike.
+constexpr milliseconds kWithdrawalMargin{250};
 // The balancer asks once a second and believes two misses.
 constexpr milliseconds kNotReadyTime{2'500};
 // Left of the grace for the end of the process itself.
@@ -432,7 +432,7 @@
       return;
     case proto::FleetMessage::kItemOffers:
       if (jobs_ != nullptr) {
-        jobs_->OnOffers(from, message.item_offers());
+        jobs_->OnOffers(from, message.item_offers(), now);
         loop_.Post([this, offers = message.item_offers()] {
           for (const proto::ItemName& name : offers.stop()) {
             items_->Stop(name);
@@ -449,8 +449,9 @@
         for (const auto& entry : message.front_load().loads()) {
           requests[entry.backend()] = entry.requests();
         }
-        loop_.Post([this, from, requests = std::move(requests)] {
-          front_->pool.PeerReported(from, requests, loop_.now());
+        const uint32_t waiting = message.front_load().waiting();
+        loop_.Post([this, from, waiting, requests = std::move(requests)] {
+          front_->pool.PeerReported(from, requests, waiting, loop_.now());
         });
       }
       return;
@@ -520,15 +521,24 @@
 void FleetHost::ReportLoad() {
   const TimePoint now = loop_.now();
   loop_.RunAt(now + kLoadInterval, [this] { ReportLoad(); });
+  gateway_->CheckStalls();
+  items_->CheckStalls();
+  for (const std::string& backend : front_->pool.ItemsToYield(now)) {
+    items_->StopOneAt(backend);
+  }
+  const auto waiting = static_cast<uint32_t>(gateway_->waiting());
   std::map<std::string, uint32_t> own = front_->pool.OwnRequests();
-  if (own == told_load_ && now < told_at_ + kLoadAtLeast) {
+  if (own == told_load_ && waiting == told_waiting_ &&
+      now < told_at_ + kLoadAtLeast) {
     return;
   }
   told_load_ = own;
+  told_waiting_ = waiting;
   told_at_ = now;
-  PostControl([this, own = std::move(own)] {
+  PostControl([this, waiting, own = std::move(own)] {
     proto::FleetMessage message;
     proto::FrontLoad& load = *message.mutable_front_load();
+    load.set_waiting(waiting);
     for (const auto& [backend, requests] : own) {
       auto& entry = *load.add_loads();
       entry.set_backend(backend);
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -100,6 +100,7 @@
   std::unique_ptr<HttpServer> metrics_server_;
   bool pump_armed_ = false;
   std::map<std::string, uint32_t> told_load_;
+  uint32_t told_waiting_ = 0;
   TimePoint told_at_;
 
   int wake_fd_ = -1;
--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -1,6 +1,7 @@
 #include "gateway/backend_pool.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sequoialb {
 namespace {
@@ -12,6 +13,8 @@
 constexpr milliseconds kPeerFresh{600};
 // Slots of a server that batch items leave free, for online requests.
 constexpr double kItemReserve = 1;
+// Items keep out of slots that another front waited for this long.
+constexpr milliseconds kYieldTime{300};
 // A failing server is left alone this long, doubled with each failure.
 constexpr milliseconds kAvoidFirst{250};
 constexpr uint32_t kAvoidDoublings = 4;
@@ -72,7 +75,7 @@
 
 std::optional<Choice> BackendPool::ChooseOnline(
     const std::string& service, const std::set<std::string>& avoid,
-    TimePoint now) const {
+    TimePoint now, bool pressed) const {
   const Load* best = nullptr;
   double best_cost = 0;
   const Load* stoppable = nullptr;
@@ -86,10 +89,10 @@
     double spare = 0;
     double cost = busy / slots;
     if (!load.backend.own_domain) {
-      spare = kOtherDomainSpare;
+      spare = pressed ? 0 : kOtherDomainSpare;
       cost += kOtherDomainStep;
     } else if (!load.backend.home) {
-      spare = kAwaySpare;
+      spare = pressed ? 0 : kAwaySpare;
       cost += kAwayStep;
     }
     cost += load.backend.cold ? kColdCost : 0;
@@ -119,8 +122,47 @@
 
 void BackendPool::PeerReported(const std::string& front,
                                std::map<std::string, uint32_t> requests,
-                               TimePoint now) {
-  front_loads_[front] = {now, std::move(requests)};
+                               uint32_t waiting, TimePoint now) {
+  front_loads_[front] = {now, std::move(requests), waiting};
+}
+
+// What other fronts wait for is shared out among their peers, and here among
+// the home servers.
+double BackendPool::ItemReserve(TimePoint now) const {
+  double wanted = 0;
+  for (const auto& [front, peer] : front_loads_) {
+    wanted += now - peer.reported_at <= kYieldTime ? peer.waiting : 0;
+  }
+  size_t homes = 0;
+  for (const auto& [id, load] : loads_) {
+    homes += load.usable && load.backend.home ? 1 : 0;
+  }
+  if (wanted == 0 || homes == 0) {
+    return kItemReserve;
+  }
+  const double share = std::ceil(
+      wanted / static_cast<double>(std::max<size_t>(1, peers_) * homes));
+  return kItemReserve + share;
+}
+
+std::vector<std::string> BackendPool::ItemsToYield(TimePoint now) const {
+  const double reserve = ItemReserve(now);
+  std::vector<std::string> yield;
+  if (reserve <= kItemReserve) {
+    return yield;
+  }
+  for (const auto& [id, load] : loads_) {
+    if (!load.usable || !load.backend.home) {
+      continue;
+    }
+    const double lacking =
+        Busy(load, now) + reserve - static_cast<double>(load.backend.slots);
+    const auto stops = static_cast<uint32_t>(std::max(0.0, lacking));
+    for (uint32_t i = 0; i < std::min(stops, load.items); ++i) {
+      yield.push_back(id);
+    }
+  }
+  return yield;
 }
 
 std::map<std::string, uint32_t> BackendPool::OwnRequests() const {
@@ -135,6 +177,7 @@
 
 std::optional<Choice> BackendPool::ChooseItem(const std::string& service,
                                               TimePoint now) const {
+  const double reserve = ItemReserve(now);
   const Load* best = nullptr;
   double best_free = 0;
   for (const auto& [id, load] : loads_) {
@@ -142,8 +185,8 @@
         now < load.avoid_until) {
       continue;
     }
-    const double free = static_cast<double>(load.backend.slots) -
-                        Busy(load, now) - kItemReserve;
+    const double free =
+        static_cast<double>(load.backend.slots) - Busy(load, now) - reserve;
     if (free >= 1 && (best == nullptr || free > best_free)) {
       best = &load;
       best_free = free;
@@ -156,11 +199,12 @@
 }
 
 size_t BackendPool::ItemRoom(TimePoint now) const {
+  const double reserve = ItemReserve(now);
   double room = 0;
   for (const auto& [id, load] : loads_) {
     if (load.usable && load.backend.home && now >= load.avoid_until) {
       room += std::max(0.0, static_cast<double>(load.backend.slots) -
-                                Busy(load, now) - kItemReserve);
+                                Busy(load, now) - reserve);
     }
   }
   return static_cast<size_t>(room);
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -51,9 +51,11 @@
   void SetUsable(const std::vector<UsableBackend>& usable);
 
   // Returns the server for an online request, or nothing while all are full.
+  // A request that is `pressed` for time takes the last slot of a server away
+  // from home, which else is left to what others have just sent.
   std::optional<Choice> ChooseOnline(const std::string& service,
                                      const std::set<std::string>& avoid,
-                                     TimePoint now) const;
+                                     TimePoint now, bool pressed = false) const;
   // Returns the server for a batch item, or nothing without room at home.
   std::optional<Choice> ChooseItem(const std::string& service,
                                    TimePoint now) const;
@@ -68,9 +70,14 @@
 
   void Reported(const std::string& backend, const BackendLoad& load,
                 TimePoint now);
-  // Takes what another front has under way, by server.
+  // Takes what another front has under way, by server, and how many online
+  // requests wait there for a slot.
   void PeerReported(const std::string& front,
-                    std::map<std::string, uint32_t> requests, TimePoint now);
+                    std::map<std::string, uint32_t> requests, uint32_t waiting,
+                    TimePoint now);
+  // Returns home servers whose items hold slots that online requests of other
+  // fronts wait for, each as often as it should stop one.
+  std::vector<std::string> ItemsToYield(TimePoint now) const;
   // How many other fronts there are.
   void SetPeers(size_t peers) { peers_ = peers; }
   // What this front has under way, by server.
@@ -108,8 +115,11 @@
   struct Peer {
     TimePoint reported_at;
     std::map<std::string, uint32_t> requests;
+    uint32_t waiting = 0;
   };
 
+  // Slots that items leave free at each home server.
+  double ItemReserve(TimePoint now) const;
   double Others(const Load& load, TimePoint now) const;
   double Busy(const Load& load, TimePoint now) const;
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/hash.h"
+#include "gateway/stall_policy.h"
 #include "observe/log.h"
 
 namespace sequoialb {
@@ -12,12 +13,14 @@
 constexpr milliseconds kPumpInterval{15};
 // Until a connection to a backend server stands: several round trips between
 // failure domains, and less than the retransmission of a lost packet.
-constexpr milliseconds kConnectTime{250};
+constexpr milliseconds kConnectTime{100};
 // A request that may run only once uses no connection that was idle longer.
 constexpr milliseconds kOnceMostIdle{1'000};
 constexpr milliseconds kMostIdle{8'000};
 // Bytes that a caller has not taken before its server is no longer read.
 constexpr size_t kMaxUnsent = 262'144;
+// Two words of every other front have come by then.
+constexpr milliseconds kPressedAfter{60};
 // What an answer needs from a slot to its first event.
 constexpr milliseconds kFirstEventTime{40};
 // How long past its objective a request still waits, as a multiple of it.
@@ -50,6 +53,8 @@
   std::string service;
   TimePoint arrived_at;
   TimePoint sent_at;
+  // When bytes last came from the present server.
+  TimePoint heard_at;
   TimePoint deadline;
   TimerId deadline_timer = 0;
   bool waiting = false;
@@ -190,7 +195,9 @@
     // Those who wait go first; the line is in order.
     return false;
   }
-  auto choice = front_.pool.ChooseOnline(request.service, request.avoid, now);
+  const bool pressed = now - request.arrived_at > kPressedAfter;
+  auto choice =
+      front_.pool.ChooseOnline(request.service, request.avoid, now, pressed);
   if (choice && choice->stop_item && !hooks_.stop_item(choice->backend)) {
     choice.reset();
   }
@@ -247,6 +254,7 @@
   ++request.attempts;
   request.backend = choice.backend;
   request.sent_at = now;
+  request.heard_at = TimePoint();
   request.item_stopped = choice.stop_item;
   request.may_have_run_before = request.may_have_run;
   request.may_have_run = true;
@@ -358,6 +366,7 @@
                   RunState::kRan});
     return;
   }
+  request.heard_at = now;
   if (!request.head_passed) {
     PassHead(request, head);
   }
@@ -398,6 +407,7 @@
 }
 
 void Gateway::OnData(Request& request, std::string_view data) {
+  request.heard_at = front_.loop.now();
   if (!request.events) {
     request.exchange->Send(data);
   } else {
@@ -458,6 +468,47 @@
              ReturnAfterMs(request)});
 }
 
+bool Gateway::HasStalled(const Request& request, TimePoint now) const {
+  if (request.call == nullptr || request.paused || !MayGoOn(request)) {
+    return false;
+  }
+  if (request.heard_at != TimePoint()) {
+    return request.events &&
+           now >= StreamStallsAt(*request.route, request.heard_at);
+  }
+  if (now < FirstEventStallsAt(*request.route, request.sent_at)) {
+    return false;
+  }
+  std::set<std::string> avoid = request.avoid;
+  avoid.insert(request.backend);
+  const auto other = front_.pool.ChooseOnline(request.service, avoid, now);
+  return other.has_value();
+}
+
+void Gateway::CheckStalls() {
+  const TimePoint now = front_.loop.now();
+  std::vector<Request*> stalled;
+  for (const auto& [number, request] : requests_) {
+    if (HasStalled(*request, now)) {
+      stalled.push_back(request.get());
+    }
+  }
+  for (Request* request : stalled) {
+    const std::string backend = request->backend;
+    // One queued request says nothing of its server; a silent stream does.
+    if (request->heard_at != TimePoint()) {
+      front_.pool.Failed(backend, now);
+    } else {
+      front_.pool.Full(backend, now);
+    }
+    request->avoid.insert(backend);
+    Release(*request);
+    SendAgain(*request, {ErrorCode::kBackendFailed,
+                         "backend server " + backend + " fell silent",
+                         RunState::kUnknown});
+  }
+}
+
 void Gateway::Wait(Request& request) {
   WaitingRequest entry;
   entry.request = request.number;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -44,6 +44,9 @@
   // Sends what waits, now that slots or servers have changed.
   void Pump();
 
+  // Moves requests whose servers have fallen silent.
+  void CheckStalls();
+
   size_t waiting() const { return line_.size(); }
 
  private:
@@ -62,6 +65,7 @@
   void OnData(Request& request, std::string_view data);
   void OnComplete(Request& request);
   void OnFailure(Request& request, CallFailure failure);
+  bool HasStalled(const Request& request, TimePoint now) const;
   void OnDeadline(Request& request);
   // Ends the present attempt's claim on its server.
   void Release(Request& request);
--- a/src/group/consensus_group.cc
+++ b/src/group/consensus_group.cc
@@ -206,7 +206,7 @@
 void ConsensusGroup::Flush(TimePoint now) {
   // Persisting on a group of one commits at once, which leads to more.
   while (true) {
-    NoteRole();
+    NoteRole(now);
     RaftReady ready = raft_->TakeReady();
     SendAll(ready.messages);
     StartTransfers(ready.snapshot_wanted, now);
@@ -282,7 +282,7 @@
   }
 }
 
-void ConsensusGroup::NoteRole() {
+void ConsensusGroup::NoteRole(TimePoint now) {
   const bool led = last_role_ == RaftRole::kLeader;
   if (led && (!leads() || raft_->term() != last_term_)) {
     sender_.Clear();
@@ -294,6 +294,9 @@
                            {"leader", raft_->leader()},
                            {"term", std::to_string(raft_->term())}});
   }
+  if (leads() && (!led || raft_->term() != last_term_)) {
+    leads_since_ = now;
+  }
   last_role_ = raft_->role();
   last_term_ = raft_->term();
   last_leader_ = raft_->leader();
@@ -336,6 +339,7 @@
   input.retiring = retiring;
   input.leader = node_;
   input.most_voters = options_.most_voters;
+  input.leads_since = leads_since_;
   input.now = now;
   for (const std::string& learner : input.membership.learners()) {
     const uint64_t match = raft_->MatchOf(learner);
--- a/src/group/consensus_group.h
+++ b/src/group/consensus_group.h
@@ -91,7 +91,7 @@
   void SendAll(const std::vector<OutgoingRaft>& messages);
   void Apply(const std::vector<proto::LogEntry>& entries);
   void DropPending();
-  void NoteRole();
+  void NoteRole(TimePoint now);
   void MaybeSnapshot();
   void StartTransfers(const std::vector<std::string>& nodes, TimePoint now);
   void SendChunks(TimePoint now);
@@ -121,6 +121,7 @@
   RaftRole last_role_ = RaftRole::kFollower;
   uint64_t last_term_ = 0;
   std::string last_leader_;
+  TimePoint leads_since_;
   Counter& committed_;
   LatencyHistogram& sync_latency_;
 };
--- a/src/group/membership_planner.cc
+++ b/src/group/membership_planner.cc
@@ -55,8 +55,10 @@
 
   bool Away(const std::string& node) const {
     const GroupCandidate* current = Current(node);
-    return node != in_.leader &&
-           (current == nullptr || in_.now - current->heard_at > kAwayAfter);
+    const TimePoint heard_at =
+        current == nullptr ? in_.leads_since
+                           : std::max(current->heard_at, in_.leads_since);
+    return node != in_.leader && in_.now - heard_at > kAwayAfter;
   }
 
   bool Retiring(const std::string& node) const {
@@ -158,7 +160,26 @@
         return true;
       }
     }
-    return false;
+    return sound > in_.most_voters && Demote();
+  }
+
+  // A voter too many, as when one that was stood in for is back, learns again:
+  // the one whose domain has most voters.
+  bool Demote() {
+    std::string most;
+    for (const std::string& voter : in_.membership.voters()) {
+      const bool better =
+          most.empty() || VotersIn(DomainOf(voter)) > VotersIn(DomainOf(most));
+      if (voter != in_.leader && better) {
+        most = voter;
+      }
+    }
+    if (most.empty()) {
+      return false;
+    }
+    Erase(*next_.mutable_voters(), most);
+    next_.add_learners(most);
+    return true;
   }
 
   const PlannerInput& in_;
--- a/src/group/membership_planner.h
+++ b/src/group/membership_planner.h
@@ -37,6 +37,9 @@
   std::string leader;
   // Voters wanted at the most; an odd number.
   size_t most_voters = 3;
+  // Since when the leader has led: whom it has not heard for less than this
+  // time may just be about to speak.
+  TimePoint leads_since;
   TimePoint now;
 };
 
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -8,11 +8,13 @@
 namespace sequoialb {
 namespace {
 
-constexpr milliseconds kConnectTime{250};
+constexpr milliseconds kConnectTime{100};
 constexpr milliseconds kMostIdle{8'000};
 // An item without a slot goes back after this, so that another front may take
 // it.
 constexpr milliseconds kHoldTime{150};
+// An item has time: its server is given up after many times a usual pause.
+constexpr milliseconds kSilentAfter{800};
 constexpr int kStatusNeverPossible = 422;
 constexpr int kStatusFailed = 500;
 
@@ -21,6 +23,8 @@
 struct ItemRunner::Run {
   proto::ItemOffer offer;
   TimePoint taken_at;
+  // When it was sent, or bytes last came.
+  TimePoint heard_at;
   std::unique_ptr<HttpCall> call;
   std::string backend;
   EventCutter cutter;
@@ -105,6 +109,7 @@
   bytes += "Content-Length: " + std::to_string(item.body().size()) + "\r\n\r\n";
   bytes += item.body();
   started_.Add();
+  run.heard_at = front_.loop.now();
   run.backend = choice.backend;
   front_.pool.Sent(run.backend, true);
   CallOptions options;
@@ -159,6 +164,7 @@
 }
 
 void ItemRunner::OnData(Run& run, std::string_view data) {
+  run.heard_at = front_.loop.now();
   if (!run.streaming) {
     return;
   }
@@ -242,6 +248,23 @@
   }
 }
 
+void ItemRunner::CheckStalls() {
+  const TimePoint now = front_.loop.now();
+  std::vector<Run*> silent;
+  for (const auto& [key, run] : runs_) {
+    if (run->call != nullptr && now - run->heard_at > kSilentAfter) {
+      silent.push_back(run.get());
+    }
+  }
+  for (Run* run : silent) {
+    LogInfo("item_stalled", {{"job", run->offer.job()},
+                             {"item", run->offer.item().id()},
+                             {"backend", run->backend}});
+    front_.pool.Failed(run->backend, now);
+    End(*run, proto::ItemOutcome::kReturned);
+  }
+}
+
 void ItemRunner::Report(proto::ItemReport& report) const {
   size_t held = 0;
   for (const auto& [key, run] : runs_) {
--- a/src/jobs/item_runner.h
+++ b/src/jobs/item_runner.h
@@ -38,6 +38,9 @@
   // Starts items that wait here, or gives them back when there is no room.
   void Pump();
 
+  // Gives back items whose servers have fallen silent.
+  void CheckStalls();
+
   // Fills in what runs here and how much more could.
   void Report(proto::ItemReport& report) const;
 
--- a/src/jobs/job_client.cc
+++ b/src/jobs/job_client.cc
@@ -8,13 +8,16 @@
 // Beyond several round trips and a sync; a lost leader is replaced in a second.
 constexpr milliseconds kCallRetry{250};
 constexpr milliseconds kOutcomeRetry{400};
+// A leader answers reports ten times a second; unheard for this long it is
+// looked for elsewhere.
+constexpr milliseconds kLeaderSilent{450};
 
 }  // namespace
 
-std::string JobClient::Target() {
+std::string JobClient::Target(TimePoint now) {
   const auto& hosts = member_.hosts();
   const auto known = hosts.find(leader_);
-  if (known != hosts.end()) {
+  if (known != hosts.end() && now - leader_heard_ < kLeaderSilent) {
     return leader_;
   }
   std::vector<std::string> stores;
@@ -26,7 +29,8 @@
   return stores.empty() ? "" : stores[turn_++ % stores.size()];
 }
 
-void JobClient::NoteLeader(const std::string& leader) {
+void JobClient::NoteLeader(const std::string& leader, TimePoint now) {
+  leader_heard_ = now;
   if (leader != leader_) {
     LogInfo("store_leader", {{"leader", leader}, {"before", leader_}});
     leader_ = leader;
@@ -35,7 +39,7 @@
 
 void JobClient::Send(Pending& pending, TimePoint now) {
   pending.send_at = now + kCallRetry;
-  const std::string target = Target();
+  const std::string target = Target(now);
   if (target.empty()) {
     return;
   }
@@ -57,13 +61,13 @@
   const auto found = pending_.find(answer.call());
   if (answer.error_name() == ErrorName(ErrorCode::kNoQuorum)) {
     const bool news = answer.leader_host() != leader_;
-    NoteLeader(answer.leader_host());
+    NoteLeader(answer.leader_host(), now);
     if (found != pending_.end() && news && !leader_.empty()) {
       found->second.send_at = now;
     }
     return;
   }
-  NoteLeader(answer.leader_host());
+  NoteLeader(answer.leader_host(), now);
   if (found == pending_.end()) {
     return;
   }
@@ -88,8 +92,11 @@
     if (now >= pending.deadline) {
       expired.push_back(number);
     } else if (now >= pending.send_at) {
-      // The leader may be gone: ask around.
-      leader_.clear();
+      LogInfo(
+          "store_call_again",
+          {{"call", std::to_string(number)},
+           {"leader", leader_},
+           {"heard_ms_ago", std::to_string(RemainingMs(now, leader_heard_))}});
       Send(pending, now);
     }
   }
@@ -97,7 +104,7 @@
     Fail(number);
   }
   for (auto& [key, kept] : outcomes_) {
-    const std::string target = now >= kept.send_at ? Target() : "";
+    const std::string target = now >= kept.send_at ? Target(now) : "";
     if (!target.empty()) {
       kept.send_at = now + kOutcomeRetry;
       proto::FleetMessage message;
@@ -108,8 +115,7 @@
 }
 
 void JobClient::SendReport(const proto::ItemReport& report, TimePoint now) {
-  (void)now;
-  const std::string target = Target();
+  const std::string target = Target(now);
   if (target.empty()) {
     return;
   }
@@ -123,8 +129,8 @@
 }
 
 void JobClient::OnOffers(const std::string& from,
-                         const proto::ItemOffers& offers) {
-  NoteLeader(offers.leads() ? from : offers.leader_host());
+                         const proto::ItemOffers& offers, TimePoint now) {
+  NoteLeader(offers.leads() ? from : offers.leader_host(), now);
 }
 
 void JobClient::AddOutcome(const proto::ItemOutcome& outcome, TimePoint now) {
--- a/src/jobs/job_client.h
+++ b/src/jobs/job_client.h
@@ -24,7 +24,8 @@
   void Call(proto::JobCall call, TimePoint deadline, TimePoint now, Done done);
   void OnAnswer(const proto::JobAnswer& answer, TimePoint now);
   void SendReport(const proto::ItemReport& report, TimePoint now);
-  void OnOffers(const std::string& from, const proto::ItemOffers& offers);
+  void OnOffers(const std::string& from, const proto::ItemOffers& offers,
+                TimePoint now);
   void AddOutcome(const proto::ItemOutcome& outcome, TimePoint now);
   void OnTaken(const proto::ItemOutcomeTaken& taken);
   void Tick(TimePoint now);
@@ -41,9 +42,9 @@
     TimePoint send_at;
   };
 
-  void NoteLeader(const std::string& leader);
+  void NoteLeader(const std::string& leader, TimePoint now);
   // The leader as far as known, else each store host in turn.
-  std::string Target();
+  std::string Target(TimePoint now);
   void Fail(uint64_t number);
   void Send(Pending& pending, TimePoint now);
 
@@ -51,6 +52,8 @@
   const FleetMember& member_;
   uint64_t next_call_ = 1;
   std::string leader_;
+  // When the leader last answered, or was named as such.
+  TimePoint leader_heard_;
   size_t turn_ = 0;
   std::map<uint64_t, Pending> pending_;
   std::map<std::pair<std::string, std::string>, KeptOutcome> outcomes_;
--- a/src/peer/peer_transport.cc
+++ b/src/peer/peer_transport.cc
@@ -11,12 +11,15 @@
 constexpr uint32_t kProtocolVersion = 1;
 constexpr int kSendHighWater = 10'000;
 constexpr int kReconnectLeastMs = 100;
-constexpr int kReconnectMostMs = 1'000;
+// Hosts start and come back within a second of each other; those that wait for
+// them must not sleep through it.
+constexpr int kReconnectMostMs = 200;
 // A connection that went silent is replaced within the time that a change of
 // the configuration has to reach every host, 2 s.
 constexpr int kHeartbeatMs = 500;
 constexpr int kHeartbeatTimeoutMs = 1'500;
-constexpr int kConnectTimeoutMs = 1'000;
+// Many round trips within a region, and less than a lost packet's repetition.
+constexpr int kConnectTimeoutMs = 300;
 constexpr int64_t kMaxMessageBytes = 64 << 20;
 // Messages handled before timers get their turn again.
 constexpr int kDrainLimit = 2'000;
--- a/test/correctness/fleet_test.cc
+++ b/test/correctness/fleet_test.cc
@@ -181,6 +181,7 @@
   }
   void SetUp() override {
     input_.now = kNow;
+    input_.leads_since = kNow - seconds(100);
     input_.leader = "a@1";
     input_.most_voters = 3;
     for (const char* node : {"a@1", "b@1", "c@1"}) {
@@ -249,6 +250,25 @@
   EXPECT_FALSE(PlanMembership(input_).has_value());
 }
 
+TEST_F(Planning, ANewLeaderWaitsForThoseItHasNotHeardYet) {
+  Hear("e", "1", "d4");
+  Settle();
+  input_.candidates.erase("c");
+  input_.leads_since = kNow - milliseconds(500);
+  EXPECT_FALSE(PlanMembership(input_).has_value());
+}
+
+TEST_F(Planning, AVoterTooManyLearnsAgain) {
+  Hear("c", "1", "d3", milliseconds(10'000));
+  Hear("e", "1", "d4");
+  Settle();
+  EXPECT_TRUE(Votes("e@1"));
+  Hear("c", "1", "d3");
+  Settle();
+  EXPECT_EQ(input_.membership.voters_size(), 3);
+  EXPECT_EQ(input_.membership.learners_size(), 1);
+}
+
 TEST_F(Planning, AnAddedHostOnlyLearns) {
   Hear("e", "1", "d4");
   Settle();
--- a/test/correctness/gateway_decisions_test.cc
+++ b/test/correctness/gateway_decisions_test.cc
@@ -71,7 +71,7 @@
   BackendPool pool;
   pool.SetUsable({Server("a", true, false), Server("b", true, false)});
   pool.SetPeers(1);
-  pool.PeerReported("front-2", {{"a", 7}}, At(0));
+  pool.PeerReported("front-2", {{"a", 7}}, 0, At(0));
   for (int i = 0; i < 7; ++i) {
     const auto choice = pool.ChooseOnline("s", {}, At(30));
     ASSERT_TRUE(choice.has_value());
@@ -83,6 +83,34 @@
   EXPECT_TRUE(pool.ChooseOnline("s", {}, At(1'000)).has_value());
 }
 
+// A domain is cut off and its callers fill the others: items elsewhere give way
+// to online requests that wait at another front.
+TEST(BackendPool, ItemsYieldToAnotherFrontsWaitingRequests) {
+  BackendPool pool;
+  pool.SetUsable({Server("h1", true, true), Server("h2", true, true)});
+  pool.SetPeers(2);
+  for (int i = 0; i < 7; ++i) {
+    pool.Sent("h1", true);
+    pool.Sent("h2", i < 3);
+  }
+  EXPECT_TRUE(pool.ItemsToYield(At(0)).empty());
+  pool.PeerReported("front-2", {}, 8, At(0));
+  // Eight wait, two peers share them, each on two home servers: two a server.
+  const auto yield = pool.ItemsToYield(At(10));
+  EXPECT_EQ(std::count(yield.begin(), yield.end(), "h1"), 2);
+  EXPECT_EQ(std::count(yield.begin(), yield.end(), "h2"), 2);
+  EXPECT_EQ(pool.ItemRoom(At(10)), 0U);
+  // The wish ends.
+  EXPECT_TRUE(pool.ItemsToYield(At(500)).empty());
+}
+
+TEST(BackendPool, ARequestPressedForTimeTakesTheLastSlotAway) {
+  BackendPool pool;
+  pool.SetUsable({Server("away", true, false, 1)});
+  EXPECT_FALSE(pool.ChooseOnline("s", {}, At(0)).has_value());
+  EXPECT_TRUE(pool.ChooseOnline("s", {}, At(0), true).has_value());
+}
+
 // Half of the servers gone: those that fail are left alone, longer each time,
 // and taken back.
 TEST(BackendPool, LeavesFailingServersAlone) {
