Leave two slots a front to online requests instead of one a server

Cause: with one free slot at each home server an eighth of the slots stayed idle while items were late; an online request that finds no slot stops an item at once anyway. Fronts write a line a second on where slots are. Lint of the new code.

--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -44,7 +44,7 @@
   }
   std::set<std::pair<std::string, std::string>> places;
   for (const Route& route : catalog.routes) {
-    const Status checked = CheckRoute(route, services);
+    Status checked = CheckRoute(route, services);
     if (!checked) {
       return checked;
     }
--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -14,6 +14,7 @@
 
 constexpr milliseconds kControlTick{20};
 constexpr milliseconds kItemReportInterval{100};
+constexpr milliseconds kSummaryInterval{1'000};
 // Fronts tell each other what they have under way when it has changed, and at
 // least this often.
 constexpr milliseconds kLoadInterval{30};
@@ -81,7 +82,7 @@
     return tl::unexpected<Error>(links.error());
   }
   links_ = std::move(*links);
-  const Status duties = OpenDuties();
+  Status duties = OpenDuties();
   if (!duties) {
     return duties;
   }
@@ -511,6 +512,13 @@
   busy_ = front_server_->busy();
   proto::ItemReport report;
   items_->Report(report);
+  if (loop_.now() >= summary_due_) {
+    summary_due_ = loop_.now() + kSummaryInterval;
+    LogInfo("front_load",
+            {{"pool", front_->pool.Summary(loop_.now())},
+             {"items_held", std::to_string(report.in_hand_size())},
+             {"waiting", std::to_string(gateway_->waiting())}});
+  }
   PostControl([this, report] {
     const TimePoint boot_now = BootNow();
     jobs_->SendReport(report, boot_now);
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -102,6 +102,7 @@
   std::map<std::string, uint32_t> told_load_;
   uint32_t told_waiting_ = 0;
   TimePoint told_at_;
+  TimePoint summary_due_;
 
   int wake_fd_ = -1;
   std::mutex mutex_;
--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -11,8 +11,9 @@
 constexpr milliseconds kReportEnds{1'500};
 // Another front's word counts for this long; it comes every 200 ms at least.
 constexpr milliseconds kPeerFresh{600};
-// Slots of a server that batch items leave free, for online requests.
-constexpr double kItemReserve = 1;
+// Slots of the home servers together that items leave free, for the online
+// requests of the moment in which an item is being stopped.
+constexpr double kItemReserve = 2;
 // Items keep out of slots that another front waited for this long.
 constexpr milliseconds kYieldTime{300};
 // A failing server is left alone this long, doubled with each failure.
@@ -126,41 +127,51 @@
   front_loads_[front] = {now, std::move(requests), waiting};
 }
 
-// What other fronts wait for is shared out among their peers, and here among
-// the home servers.
+// What other fronts wait for is shared out among their peers.
 double BackendPool::ItemReserve(TimePoint now) const {
   double wanted = 0;
   for (const auto& [front, peer] : front_loads_) {
     wanted += now - peer.reported_at <= kYieldTime ? peer.waiting : 0;
   }
-  size_t homes = 0;
+  return kItemReserve +
+         std::ceil(wanted / static_cast<double>(std::max<size_t>(1, peers_)));
+}
+
+double BackendPool::HomeFree(TimePoint now) const {
+  double free = 0;
   for (const auto& [id, load] : loads_) {
-    homes += load.usable && load.backend.home ? 1 : 0;
-  }
-  if (wanted == 0 || homes == 0) {
-    return kItemReserve;
+    if (load.usable && load.backend.home && now >= load.avoid_until) {
+      free += std::max(
+          0.0, static_cast<double>(load.backend.slots) - Busy(load, now));
+    }
   }
-  const double share = std::ceil(
-      wanted / static_cast<double>(std::max<size_t>(1, peers_) * homes));
-  return kItemReserve + share;
+  return free;
 }
 
 std::vector<std::string> BackendPool::ItemsToYield(TimePoint now) const {
-  const double reserve = ItemReserve(now);
   std::vector<std::string> yield;
-  if (reserve <= kItemReserve) {
+  if (ItemReserve(now) <= kItemReserve) {
     return yield;
   }
-  for (const auto& [id, load] : loads_) {
-    if (!load.usable || !load.backend.home) {
-      continue;
+  double lacking = ItemReserve(now) - HomeFree(now);
+  std::map<std::string, uint32_t> left;
+  // From the server with most items first, one at a time.
+  while (lacking >= 1) {
+    const Load* most = nullptr;
+    uint32_t most_items = 0;
+    for (const auto& [id, load] : loads_) {
+      const uint32_t items = left.count(id) > 0 ? left[id] : load.items;
+      if (load.usable && load.backend.home && items > most_items) {
+        most = &load;
+        most_items = items;
+      }
     }
-    const double lacking =
-        Busy(load, now) + reserve - static_cast<double>(load.backend.slots);
-    const auto stops = static_cast<uint32_t>(std::max(0.0, lacking));
-    for (uint32_t i = 0; i < std::min(stops, load.items); ++i) {
-      yield.push_back(id);
+    if (most == nullptr) {
+      break;
     }
+    left[most->backend.id] = most_items - 1;
+    yield.push_back(most->backend.id);
+    lacking -= 1;
   }
   return yield;
 }
@@ -177,7 +188,9 @@
 
 std::optional<Choice> BackendPool::ChooseItem(const std::string& service,
                                               TimePoint now) const {
-  const double reserve = ItemReserve(now);
+  if (HomeFree(now) < ItemReserve(now) + 1) {
+    return std::nullopt;
+  }
   const Load* best = nullptr;
   double best_free = 0;
   for (const auto& [id, load] : loads_) {
@@ -186,7 +199,7 @@
       continue;
     }
     const double free =
-        static_cast<double>(load.backend.slots) - Busy(load, now) - reserve;
+        static_cast<double>(load.backend.slots) - Busy(load, now);
     if (free >= 1 && (best == nullptr || free > best_free)) {
       best = &load;
       best_free = free;
@@ -199,15 +212,7 @@
 }
 
 size_t BackendPool::ItemRoom(TimePoint now) const {
-  const double reserve = ItemReserve(now);
-  double room = 0;
-  for (const auto& [id, load] : loads_) {
-    if (load.usable && load.backend.home && now >= load.avoid_until) {
-      room += std::max(0.0, static_cast<double>(load.backend.slots) -
-                                Busy(load, now) - reserve);
-    }
-  }
-  return static_cast<size_t>(room);
+  return static_cast<size_t>(std::max(0.0, HomeFree(now) - ItemReserve(now)));
 }
 
 bool BackendPool::Serves(const std::string& service, TimePoint now) const {
@@ -231,6 +236,37 @@
   return slots;
 }
 
+std::string BackendPool::Summary(TimePoint now) const {
+  size_t usable = 0;
+  size_t home = 0;
+  size_t avoided = 0;
+  uint32_t online = 0;
+  uint32_t items = 0;
+  double home_free = 0;
+  double all_free = 0;
+  for (const auto& [id, load] : loads_) {
+    if (!load.usable) {
+      continue;
+    }
+    ++usable;
+    avoided += now < load.avoid_until ? 1 : 0;
+    online += load.online;
+    items += load.items;
+    const double free = std::max(
+        0.0, static_cast<double>(load.backend.slots) - Busy(load, now));
+    all_free += free;
+    home += load.backend.home ? 1 : 0;
+    home_free += load.backend.home ? free : 0;
+  }
+  return "servers=" + std::to_string(usable) + " home=" + std::to_string(home) +
+         " avoided=" + std::to_string(avoided) +
+         " online=" + std::to_string(online) +
+         " items=" + std::to_string(items) +
+         " free=" + std::to_string(static_cast<int>(all_free)) +
+         " home_free=" + std::to_string(static_cast<int>(home_free)) +
+         " reserve=" + std::to_string(static_cast<int>(ItemReserve(now)));
+}
+
 std::string BackendPool::Describe(const std::string& backend,
                                   TimePoint now) const {
   const auto found = loads_.find(backend);
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -97,6 +97,9 @@
   // others with the age of that report.
   std::string Describe(const std::string& backend, TimePoint now) const;
 
+  // Totals over all usable servers, for logs.
+  std::string Summary(TimePoint now) const;
+
   Slots SlotsOf(const std::string& service, TimePoint now) const;
 
  private:
@@ -118,8 +121,10 @@
     uint32_t waiting = 0;
   };
 
-  // Slots that items leave free at each home server.
+  // Slots of the home servers together that items leave free.
   double ItemReserve(TimePoint now) const;
+  // Free slots of the home servers together.
+  double HomeFree(TimePoint now) const;
   double Others(const Load& load, TimePoint now) const;
   double Busy(const Load& load, TimePoint now) const;
 
--- a/src/group/consensus_group.cc
+++ b/src/group/consensus_group.cc
@@ -70,7 +70,7 @@
 }
 
 Status ConsensusGroup::LoadIdentity() {
-  const Status made = files_.MakeFolder(options_.folder);
+  Status made = files_.MakeFolder(options_.folder);
   if (!made) {
     return made;
   }
@@ -134,7 +134,7 @@
 }
 
 Status ConsensusGroup::OpenDisk(TimePoint now) {
-  const Status identified = LoadIdentity();
+  Status identified = LoadIdentity();
   if (!identified) {
     return identified;
   }
@@ -146,7 +146,7 @@
   }
   storage_ = std::move(*storage);
   if (persistent.snapshot.index > 0) {
-    const Status loaded = LoadSnapshot(persistent);
+    Status loaded = LoadSnapshot(persistent);
     if (!loaded) {
       return loaded;
     }
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -25,8 +25,8 @@
   const size_t begin = field->find(kTimeout);
   const std::string_view value =
       begin == std::string::npos
-          ? std::string_view(*field)
-          : std::string_view(*field).substr(begin + kTimeout.size());
+          ? std::string_view{*field}
+          : std::string_view{*field}.substr(begin + kTimeout.size());
   return ParseDecimal(value.substr(0, value.find_first_not_of("0123456789")));
 }
 
@@ -120,7 +120,7 @@
       }
       return;
     }
-    auto head = ParseResponseHead(std::string_view(input).substr(0, *size),
+    auto head = ParseResponseHead(std::string_view{input}.substr(0, *size),
                                   options_.head_request);
     if (!head) {
       LogWarn("answer_malformed",
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -22,10 +22,10 @@
 // One caller's connection.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
  public:
-  HttpConnection(HttpServer& server, Poco::Net::StreamSocket socket)
+  HttpConnection(HttpServer& server, const Poco::Net::StreamSocket& socket)
       : server_(server),
         loop_(server.loop_),
-        stream_(server.loop_, std::move(socket),
+        stream_(server.loop_, socket,
                 {.on_input = [this] { OnInput(); },
                  .on_end = [this](StreamEnd) { OnEnd(); },
                  .on_drained = [this] { OnDrained(); }}) {
@@ -158,7 +158,7 @@
     if (!size) {
       return false;
     }
-    auto head = ParseRequestHead(std::string_view(input).substr(0, *size));
+    auto head = ParseRequestHead(std::string_view{input}.substr(0, *size));
     if (!head) {
       LogInfo("request_malformed", {{"reason", head.error().detail}});
       Refuse(400);
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -167,13 +167,13 @@
 }
 
 std::string_view RequestHead::path() const {
-  return std::string_view(target).substr(0, target.find('?'));
+  return std::string_view{target}.substr(0, target.find('?'));
 }
 
 std::string_view RequestHead::query() const {
   const size_t mark = target.find('?');
   return mark == std::string::npos ? std::string_view()
-                                   : std::string_view(target).substr(mark + 1);
+                                   : std::string_view{target}.substr(mark + 1);
 }
 
 std::optional<size_t> HeadSize(std::string_view bytes) {
@@ -354,7 +354,7 @@
     return;
   }
   const std::string_view digits =
-      std::string_view(line).substr(0, line.find(';'));
+      std::string_view{line}.substr(0, line.find(';'));
   uint64_t size = 0;
   const char* end = digits.data() + digits.size();
   const auto [rest, error] = std::from_chars(digits.data(), end, size, 16);
--- a/src/http/tcp_stream.cc
+++ b/src/http/tcp_stream.cc
@@ -27,12 +27,9 @@
 
 }  // namespace
 
-TcpStream::TcpStream(EventLoop& loop, Poco::Net::StreamSocket socket,
+TcpStream::TcpStream(EventLoop& loop, const Poco::Net::StreamSocket& socket,
                      Owner owner)
-    : loop_(loop),
-      socket_(std::move(socket)),
-      owner_(std::move(owner)),
-      connected_(true) {
+    : loop_(loop), socket_(socket), owner_(std::move(owner)), connected_(true) {
   socket_.setBlocking(false);
   Prepare();
   loop_.Watch(socket_.impl()->sockfd(), this, true, false);
--- a/src/http/tcp_stream.h
+++ b/src/http/tcp_stream.h
@@ -31,7 +31,8 @@
   };
 
   // Takes an accepted connection.
-  TcpStream(EventLoop& loop, Poco::Net::StreamSocket socket, Owner owner);
+  TcpStream(EventLoop& loop, const Poco::Net::StreamSocket& socket,
+            Owner owner);
   // Starts to connect; the owner hears on_connected or on_end.
   TcpStream(EventLoop& loop, const Address& address, Owner owner);
   ~TcpStream() override;
