--- a/src/group/consensus_group.cc
+++ b/src/group/consensus_group.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <thread>
 
 #include "base/check.h"
 #include "base/hash.h"
@@ -14,6 +15,8 @@
 
 constexpr const char* kIdentityFile = "identity";
 constexpr const char* kSnapshotPrefix = "state-";
+// Between a failed write and the end of the process.
+constexpr milliseconds kDiskPause{2'000};
 // A learner this close to the leader's commit may vote.
 constexpr uint64_t kCaughtUpEntries = 64;
 // Entries kept behind a snapshot, so that a member that was away for a moment
@@ -512,11 +515,13 @@
 }
 
 // What reached the disk after a failed write is unknown, so the process ends
-// and starts again from what is durable.
+// and starts again from what is durable. Not at once: a full or broken disk stays
+// so for seconds, and a host that restarts all the while helps nobody.
 void ConsensusGroup::DiskFailed(const Error& error) const {
   LogError("disk_failed", {{"group", options_.name},
                            {"error", std::string(ErrorName(error.code))},
                            {"reason", error.detail}});
+  std::this_thread::sleep_for(kDiskPause);
   std::_Exit(1);
 }
 
--- a/src/jobs/item_board.cc
+++ b/src/jobs/item_board.cc
@@ -16,6 +16,11 @@
 constexpr milliseconds kOfferLost{600};
 // An item that failed waits this long, so that it meets another server.
 constexpr milliseconds kFailurePause{300};
+// Weight of the newest run in the means.
+constexpr double kNewest = 0.1;
+// What bursts of online requests add to the time that an item runs: they take
+// its slot for up to a third of the time.
+constexpr double kInterruptions = 1.5;
 
 }  // namespace
 
@@ -88,46 +93,88 @@
   return job.job.accepted_unix_ms() + job.job.due_ms();
 }
 
-void ItemBoard::Offer(const std::string& front, size_t room, TimePoint now,
-                      proto::ItemOffers& answer) {
-  std::vector<const KeptJob*> open;
-  for (const auto& [id, job] : jobs_.jobs()) {
-    if (job.open()) {
-      open.push_back(&job);
-    }
+Duration ItemBoard::TimeNeeded(const Key& key) const {
+  double left = 1;
+  const auto progress = progress_.find(key);
+  if (progress != progress_.end() && progress->second.has_last_event &&
+      typical_events_ > 0) {
+    const auto done = static_cast<double>(progress->second.last_event);
+    left = std::clamp(1 - done / typical_events_, 0.05, 1.0);
   }
-  std::sort(open.begin(), open.end(), [](const KeptJob* a, const KeptJob* b) {
-    return DueAt(*a) < DueAt(*b);
-  });
+  return FromSeconds(typical_run_s_ * left * kInterruptions);
+}
+
+std::vector<ItemBoard::Candidate> ItemBoard::Waiting(TimePoint now) const {
+  std::vector<Candidate> waiting;
   const int64_t unix_now = UnixMs();
-  for (const KeptJob* job : open) {
-    for (const KeptItem& item : job->items) {
-      const Key key{job->job.id(), item.item.id()};
+  for (const auto& [id, job] : jobs_.jobs()) {
+    if (!job.open()) {
+      continue;
+    }
+    for (const KeptItem& item : job.items) {
+      const Key key{id, item.item.id()};
       const auto paused = not_before_.find(key);
       if (item.listed || running_.count(key) > 0 ||
           (paused != not_before_.end() && now < paused->second)) {
         continue;
       }
-      if (room == 0) {
-        return;
-      }
-      --room;
-      proto::ItemOffer& offer = *answer.add_offers();
-      offer.set_job(key.first);
-      offer.set_account(job->job.account());
-      offer.set_route_host(job->job.route_host());
-      *offer.mutable_item() = item.item;
-      offer.set_due_left_ms(DueAt(*job) - unix_now);
-      offer.set_attempt(next_attempt_++);
-      const auto progress = progress_.find(key);
-      if (progress != progress_.end()) {
-        offer.set_output(progress->second.output);
-        offer.set_last_event(progress->second.last_event);
-        offer.set_has_last_event(progress->second.has_last_event);
-      }
-      running_[key] = {front, offer.attempt(), now, false};
+      const milliseconds due_left(DueAt(job) - unix_now);
+      waiting.push_back({&job, &item, due_left >= TimeNeeded(key), DueAt(job)});
     }
   }
+  std::stable_sort(waiting.begin(), waiting.end(),
+                   [](const Candidate& a, const Candidate& b) {
+                     return a.winnable != b.winnable ? a.winnable
+                                                     : a.due_at < b.due_at;
+                   });
+  return waiting;
+}
+
+void ItemBoard::Offer(const std::string& front, size_t room, TimePoint now,
+                      proto::ItemOffers& answer) {
+  for (const Candidate& next : Waiting(now)) {
+    if (room-- == 0) {
+      return;
+    }
+    AddOffer(front, next, now, answer);
+  }
+}
+
+void ItemBoard::AddOffer(const std::string& front, const Candidate& next,
+                         TimePoint now, proto::ItemOffers& answer) {
+  const Key key{next.job->job.id(), next.item->item.id()};
+  proto::ItemOffer& offer = *answer.add_offers();
+  offer.set_job(key.first);
+  offer.set_account(next.job->job.account());
+  offer.set_route_host(next.job->job.route_host());
+  *offer.mutable_item() = next.item->item;
+  offer.set_due_left_ms(next.due_at - UnixMs());
+  offer.set_attempt(next_attempt_++);
+  const auto progress = progress_.find(key);
+  if (progress != progress_.end()) {
+    offer.set_output(progress->second.output);
+    offer.set_last_event(progress->second.last_event);
+    offer.set_has_last_event(progress->second.has_last_event);
+  }
+  running_[key] = {front, offer.attempt(), now, false};
+}
+
+void ItemBoard::Completed(const proto::ItemOutcome& outcome, TimePoint now) {
+  const Key key{outcome.name().job(), outcome.name().item()};
+  const auto running = running_.find(key);
+  if (running == running_.end() || !outcome.has_last_event()) {
+    return;
+  }
+  Duration active = now - running->second.given_at;
+  const auto progress = progress_.find(key);
+  if (progress != progress_.end()) {
+    active += progress->second.active;
+  }
+  const auto events = static_cast<double>(outcome.last_event());
+  const bool first = typical_run_s_ == 0;
+  const double weight = first ? 1 : kNewest;
+  typical_run_s_ += weight * (ToSeconds(active) - typical_run_s_);
+  typical_events_ += weight * (events - typical_events_);
 }
 
 void ItemBoard::Returned(const std::string& front,
@@ -138,10 +185,13 @@
       running->second.attempt != outcome.name().attempt()) {
     return;
   }
+  const Duration active = now - running->second.given_at;
   running_.erase(running);
   not_before_[key] = now;
   if (outcome.has_last_event()) {
-    progress_[key] = {outcome.output(), outcome.last_event(), true};
+    Progress& progress = progress_[key];
+    progress = {outcome.output(), outcome.last_event(), true,
+                progress.active + active};
   }
 }
 
--- a/src/jobs/item_board.h
+++ b/src/jobs/item_board.h
@@ -5,10 +5,13 @@
 // while after it came, beside bursts of online requests that take their slots
 // away for seconds at a time. Items are given out by due time, a front takes as
 // many as it has room for, and what comes back unfinished keeps its progress.
-// An item is with one front at a time. A front that is not heard loses its
-// items, so that a dead one delays them by no more than that silence. A new
-// leader first listens, so that items which are running are not started twice.
-// A pure state machine.
+// In a flood due times alone make everything miss by a little, so items that
+// can still be done by theirs go first, judged by how long runs take and how
+// far each has come; the others get the slots that are left. An item is with
+// one front at a time. A front that is not heard loses its items, so that a
+// dead one delays them by no more than that silence. A new leader first
+// listens, so that items which are running are not started twice. A pure state
+// machine.
 #pragma once
 
 #include <cstdint>
@@ -43,6 +46,8 @@
                 TimePoint now);
   // Counts a failed attempt.
   Verdict Failed(const proto::ItemOutcome& outcome, TimePoint now);
+  // Learns from an item that was run whole how long that takes.
+  void Completed(const proto::ItemOutcome& outcome, TimePoint now);
   // The item is recorded as done.
   void Forget(const std::string& job, const std::string& item);
 
@@ -63,6 +68,15 @@
     std::string output;
     uint64_t last_event = 0;
     bool has_last_event = false;
+    // How long it has run so far.
+    Duration active{0};
+  };
+  // An item that waits, with what decides its turn.
+  struct Candidate {
+    const KeptJob* job = nullptr;
+    const KeptItem* item = nullptr;
+    bool winnable = false;
+    int64_t due_at = 0;
   };
   struct Front {
     TimePoint heard_at;
@@ -74,6 +88,11 @@
                     TimePoint now, proto::ItemOffers& answer);
   void Offer(const std::string& front, size_t room, TimePoint now,
              proto::ItemOffers& answer);
+  std::vector<Candidate> Waiting(TimePoint now) const;
+  void AddOffer(const std::string& front, const Candidate& next, TimePoint now,
+                proto::ItemOffers& answer);
+  // How much longer an item will take, interruptions included.
+  Duration TimeNeeded(const Key& key) const;
   static int64_t DueAt(const KeptJob& job);
 
   const JobTable& jobs_;
@@ -83,6 +102,9 @@
   std::map<Key, Progress> progress_;
   std::map<Key, TimePoint> not_before_;
   std::map<std::string, Front> fronts_;
+  // Means over the runs of late, the newest weighing most.
+  double typical_run_s_ = 0;
+  double typical_events_ = 0;
 };
 
 }  // namespace sequoialb
--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -229,6 +229,7 @@
   }
   switch (outcome.kind()) {
     case proto::ItemOutcome::kComplete:
+      board_.Completed(outcome, now);
       Record(from, name, false, outcome.output(), now);
       return;
     case proto::ItemOutcome::kNeverPossible:
--- a/test/correctness/jobs_test.cc
+++ b/test/correctness/jobs_test.cc
@@ -147,6 +147,32 @@
   EXPECT_EQ(Report("f2", At(810), 3).offers_size(), 1);
 }
 
+// A flood: more is due than can be run. What can still be done by its due time
+// goes before what cannot.
+TEST_F(ItemBoardTest, InAFloodTheWinnableGoFirst) {
+  Accept(Job("lesson", 1));
+  const auto first = Report("f1", At(800), 1);
+  ASSERT_EQ(first.offers_size(), 1);
+  proto::ItemOutcome whole;
+  *whole.mutable_name() = NameOf(first.offers(0));
+  whole.set_last_event(192);
+  whole.set_has_last_event(true);
+  // A run takes 5 s, with interruptions 7.5 s.
+  board_.Completed(whole, At(5'800));
+  ASSERT_TRUE(table_.Apply(Done("lesson", "lesson-0", "x")).has_value());
+  board_.Forget("lesson", "lesson-0");
+  proto::JobRecord hopeless = Job("hopeless", 1, 10, 3'000);
+  proto::JobRecord winnable = Job("winnable", 1, 10, 12'000);
+  hopeless.set_accepted_unix_ms(UnixMs());
+  winnable.set_accepted_unix_ms(UnixMs());
+  Accept(hopeless);
+  Accept(winnable);
+  const auto offers = Report("f1", At(6'000), 2);
+  ASSERT_EQ(offers.offers_size(), 2);
+  EXPECT_EQ(offers.offers(0).job(), "winnable");
+  EXPECT_EQ(offers.offers(1).job(), "hopeless");
+}
+
 TEST_F(ItemBoardTest, ASilentFrontLosesItsItems) {
   Accept(Job("j", 1));
   ASSERT_EQ(Report("f1", At(800), 1).offers_size(), 1);
