--- /dev/null
+++ b/test/correctness/rate_keeper_test.cc
@@ -0,0 +1,113 @@
+// Rates at one front: it asks the owner before it refuses, and goes on with its
+// part of the rate while no owner answers.
+#include "gateway/rate_keeper.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+#include "../fakes/raw_sockets.h"
+#include "gateway/stall_policy.h"
+
+namespace sequoialb {
+namespace {
+
+class RateKeeperTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    thread_.Run([this] {
+      keeper_ = std::make_unique<RateKeeper>(
+          thread_.loop(), metrics_, [this](const proto::TokenRequest& request) {
+            asked_.push_back(request);
+          });
+    });
+  }
+  void TearDown() override {
+    thread_.Run([this] { keeper_.reset(); });
+  }
+
+  void Take() {
+    thread_.Run([this] {
+      keeper_->Take(account_, [this](const RateKeeper::Answer& answer) {
+        answers_.push_back(answer);
+      });
+    });
+  }
+  void Reply(uint32_t granted, int64_t retry_after_ms = 0) {
+    thread_.Run([&] {
+      proto::TokenReply reply;
+      reply.set_request_id(asked_.back().request_id());
+      reply.set_account(account_.name);
+      reply.set_granted(granted);
+      reply.set_valid_ms(300);
+      reply.set_retry_after_ms(retry_after_ms);
+      keeper_->OnReply(reply);
+    });
+  }
+  size_t Answers() {
+    size_t count = 0;
+    thread_.Run([&] { count = answers_.size(); });
+    return count;
+  }
+  void AwaitAnswers(size_t count) {
+    while (Answers() < count) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+  }
+
+  Account account_{"acct", {"k"}, {}, 10, 10};
+  Metrics metrics_;
+  fakes::LoopThread thread_;
+  std::unique_ptr<RateKeeper> keeper_;
+  std::vector<proto::TokenRequest> asked_;
+  std::vector<RateKeeper::Answer> answers_;
+};
+
+TEST_F(RateKeeperTest, AsksTheOwnerAndTakesWhatItLends) {
+  Take();
+  ASSERT_EQ(asked_.size(), 1U);
+  EXPECT_EQ(asked_[0].want(), 1U);
+  EXPECT_EQ(Answers(), 0U);
+  Reply(1);
+  ASSERT_EQ(Answers(), 1U);
+  EXPECT_TRUE(answers_[0].taken);
+}
+
+TEST_F(RateKeeperTest, RefusesOnTheOwnersWordAlone) {
+  Take();
+  Reply(0, 70);
+  ASSERT_EQ(Answers(), 1U);
+  EXPECT_FALSE(answers_[0].taken);
+  EXPECT_EQ(answers_[0].retry_after_ms, 70);
+}
+
+// The second without a control leader: requests within the front's part go on.
+TEST_F(RateKeeperTest, SpendsItsPartWhileNoOwnerAnswers) {
+  thread_.Run([this] { keeper_->SetFronts(4); });
+  for (int i = 0; i < 6; ++i) {
+    Take();
+  }
+  AwaitAnswers(6);
+  const auto taken = std::count_if(
+      answers_.begin(), answers_.end(),
+      [](const RateKeeper::Answer& answer) { return answer.taken; });
+  // A quarter of a burst of ten.
+  EXPECT_GE(taken, 2);
+  EXPECT_LE(taken, 3);
+}
+
+TEST(StallPolicy, LeavesTimeForAnotherServer) {
+  Route route;
+  route.objective = milliseconds(300);
+  route.gap_target = milliseconds(400);
+  const TimePoint now = TimePoint(seconds(10));
+  EXPECT_EQ(StreamStallsAt(route, now), now + milliseconds(280));
+  EXPECT_EQ(FirstEventStallsAt(route, now), now + milliseconds(150));
+  route.objective = milliseconds(50);
+  EXPECT_EQ(FirstEventStallsAt(route, now), now + kLeastPatience);
+}
+
+}  // namespace
+}  // namespace sequoialb
