Refuse at once what the line's pace makes hopeless, and say when to return

Cause: under overload requests were held 0.6 s and then refused, though the line's length and pace showed from the start that no slot would come. Change: hopeless_policy judges by the slots that this front's requests hold and how long they hold them; Retry-After is when the line will have moved. Replay against the same line without it: as many served, less than half held and then refused.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -27,9 +27,8 @@
 constexpr double kWaitBeyondObjective = 1.0;
 // One line in so many for requests that were served as they should be.
 constexpr uint64_t kServedLogInterval = 64;
-// A caller is told to come back within these bounds, in milliseconds.
-constexpr int64_t kReturnLeastMs = 50;
-constexpr int64_t kReturnMostMs = 1'500;
+// Weight of the newest request in the mean hold.
+constexpr int kHoldMemory = 16;
 constexpr int64_t kNoAuthorityReturnMs = 300;
 
 std::string WholeMs(Duration d) {
@@ -347,7 +346,7 @@
               {ErrorCode::kOverloaded,
                "backend server " + backend + " refused it unrun",
                request.may_have_run ? RunState::kUnknown : RunState::kNotRun,
-               ReturnAfterMs(request)});
+               ReturnAfterMs()});
     return;
   }
   const bool success = head.status < 300;
@@ -443,6 +442,9 @@
     return;
   }
   front_.pool.Succeeded(request.backend);
+  const Duration held = front_.loop.now() - request.sent_at;
+  typical_hold_ +=
+      typical_hold_.count() == 0 ? held : (held - typical_hold_) / kHoldMemory;
   request.exchange->Finish();
   completed_.Add();
   Finish(request, "served");
@@ -465,7 +467,7 @@
              "backend server " + backend +
                  (unreachable ? " cannot be reached" : " broke its answer off"),
              request.may_have_run ? RunState::kUnknown : RunState::kNotRun,
-             ReturnAfterMs(request)});
+             ReturnAfterMs()});
 }
 
 bool Gateway::HasStalled(const Request& request, TimePoint now) const {
@@ -523,6 +525,11 @@
       request.head_passed
           ? request.deadline
           : std::min(request.deadline, request.arrived_at + patience);
+  const Duration patience_left = entry.hopeless_at - front_.loop.now();
+  if (!request.head_passed && IsHopeless(Pace(), line_.size(), patience_left)) {
+    RefuseHopeless(request);
+    return;
+  }
   request.waiting = true;
   line_.Add(std::move(entry));
   ArmPump();
@@ -565,21 +572,20 @@
   request.waiting = false;
   End(request, {ErrorCode::kOverloaded, "no slot became free in time",
                 request.may_have_run ? RunState::kUnknown : RunState::kNotRun,
-                ReturnAfterMs(request)});
+                ReturnAfterMs()});
+}
+
+LinePace Gateway::Pace() const {
+  size_t holding = 0;
+  for (const auto& [number, request] : requests_) {
+    holding += request->call != nullptr ? 1 : 0;
+  }
+  return {holding, typical_hold_};
 }
 
-// Those who wait and those who are told to come back share the slots that
-// become free; the later half of a second is left to chance, so that callers
-// refused together do not return together.
-int64_t Gateway::ReturnAfterMs(const Request& request) const {
-  constexpr double kSlotSeconds = 0.7;
-  const auto slots = front_.pool.SlotsOf(request.service, front_.loop.now());
-  const double freed_per_s = std::max(1.0, slots.all / kSlotSeconds);
-  const auto wait_ms = static_cast<int64_t>(
-      1'000 * static_cast<double>(line_.size()) / freed_per_s);
-  const int64_t spread = static_cast<int64_t>(request.number * 37 % 100);
-  return std::clamp(kReturnLeastMs + wait_ms + spread, kReturnLeastMs,
-                    kReturnMostMs);
+int64_t Gateway::ReturnAfterMs() {
+  const double spread = std::uniform_real_distribution<double>(0, 1)(random_);
+  return ReturnAfter(Pace(), line_.size(), spread).count();
 }
 
 void Gateway::OnDeadline(Request& request) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,6 +16,7 @@
 
 #include "gateway/event_cutter.h"
 #include "gateway/front_view.h"
+#include "gateway/hopeless_policy.h"
 #include "gateway/rate_keeper.h"
 #include "gateway/refusal.h"
 #include "gateway/waiting_line.h"
@@ -76,7 +77,8 @@
   void End(Request& request, const Error& error);
   void Finish(Request& request, const char* outcome);
   void Remove(Request& request);
-  int64_t ReturnAfterMs(const Request& request) const;
+  LinePace Pace() const;
+  int64_t ReturnAfterMs();
   void ArmPump();
 
   FrontShared& front_;
@@ -88,6 +90,8 @@
   std::map<uint64_t, std::unique_ptr<Request>> requests_;
   TimerId pump_timer_ = 0;
   uint64_t served_ = 0;
+  // How long served requests held their slots, the newest weighing most.
+  Duration typical_hold_{0};
 
   Counter& started_;
   Counter& completed_;
--- a/test/correctness/gateway_decisions_test.cc
+++ b/test/correctness/gateway_decisions_test.cc
@@ -6,6 +6,7 @@
 #include <queue>
 
 #include "gateway/backend_pool.h"
+#include "gateway/hopeless_policy.h"
 #include "gateway/waiting_line.h"
 
 namespace sequoialb {
@@ -220,5 +221,66 @@
   EXPECT_LT(ServedInTime(true), 25U);
 }
 
+TEST(HopelessPolicy, KnowsTheLinesPace) {
+  const LinePace pace{20, milliseconds(700)};
+  EXPECT_EQ(ExpectedWait(pace, 0), milliseconds(35));
+  EXPECT_FALSE(IsHopeless(pace, 10, milliseconds(600)));
+  EXPECT_TRUE(IsHopeless(pace, 30, milliseconds(600)));
+  // Nothing learned, or nothing held: no one is refused for it.
+  EXPECT_FALSE(IsHopeless({20, Duration(0)}, 500, milliseconds(600)));
+  EXPECT_FALSE(IsHopeless({0, milliseconds(700)}, 500, milliseconds(600)));
+}
+
+TEST(HopelessPolicy, CallersReturnWhenTheLineHasMoved) {
+  const LinePace pace{20, milliseconds(700)};
+  EXPECT_EQ(ReturnAfter(pace, 9, 0), milliseconds(350));
+  EXPECT_EQ(ReturnAfter(pace, 9, 0.5), milliseconds(400));
+  EXPECT_EQ(ReturnAfter({0, Duration(0)}, 9, 0), kReturnLeast);
+  EXPECT_EQ(ReturnAfter(pace, 900, 0), kReturnMost);
+}
+
+struct Overload {
+  size_t served = 0;
+  size_t held_then_refused = 0;
+};
+
+// Replays three times what 8 slots of 700 ms can serve, for four seconds.
+Overload ReplayOverload(bool refuse_early) {
+  WaitingLine line;
+  std::priority_queue<int64_t, std::vector<int64_t>, std::greater<>> busy;
+  Overload outcome;
+  uint64_t number = 0;
+  for (int64_t now = 0; now < 6'000; now += 5) {
+    while (!busy.empty() && busy.top() <= now) {
+      busy.pop();
+    }
+    if (now < 4'000 && now % 30 == 0) {
+      const LinePace pace{busy.size(), milliseconds(700)};
+      const bool hopeless =
+          busy.size() == 8 && IsHopeless(pace, line.size(), milliseconds(600));
+      if (!refuse_early || !hopeless) {
+        line.Add(Waiting(number++, now));
+      }
+    }
+    outcome.held_then_refused += line.TakeHopeless(At(now)).size();
+    for (const uint64_t next : line.Order(At(now))) {
+      if (busy.size() == 8) {
+        break;
+      }
+      busy.push(now + 700);
+      line.Remove(next);
+      ++outcome.served;
+    }
+  }
+  return outcome;
+}
+
+TEST(HopelessPolicy, RefusesEarlyWithoutServingLess) {
+  const Overload early = ReplayOverload(true);
+  const Overload late = ReplayOverload(false);
+  EXPECT_GE(early.served, late.served);
+  EXPECT_LT(2 * early.held_then_refused, late.held_then_refused);
+}
+
 }  // namespace
 }  // namespace sequoialb
