Move the posted tasks and the control calls into parts of their own

The queue of tasks that wakes a thread's wait stood three times (host, fleet host, event loop); TaskQueue now serves all. FleetHost no longer answers operators itself; ControlEntry does. No change of behaviour; the tests of HTTP and of the whole path pass.

--- /dev/null
+++ b/src/fleet/control_entry.h
@@ -0,0 +1,41 @@
+// Operators' and backend servers' calls at a control host: decoded, carried out
+// on the control thread, answered. Belongs to the traffic thread.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "fleet/control_protocol.h"
+#include "fleet/control_service.h"
+#include "http/http_server.h"
+
+namespace sequoialb {
+
+class ControlEntry {
+ public:
+  // Runs a task on the control thread, which owns `service`.
+  using OnControlThread = std::function<void(std::function<void()>)>;
+
+  ControlEntry(EventLoop& loop, const ControlProtocol& protocol,
+               ControlService& service, OnControlThread on_control_thread)
+      : loop_(loop),
+        protocol_(protocol),
+        service_(service),
+        on_control_thread_(std::move(on_control_thread)) {}
+
+  void OnRequest(const std::shared_ptr<HttpExchange>& exchange);
+
+ private:
+  void Acknowledge(const std::shared_ptr<HttpExchange>& exchange);
+  void PassOn(const std::shared_ptr<HttpExchange>& exchange,
+              proto::ControlCall call, bool retire_status);
+  void Answer(HttpExchange& exchange, const proto::ControlAnswer& answer,
+              bool retire_status) const;
+
+  EventLoop& loop_;
+  const ControlProtocol& protocol_;
+  ControlService& service_;
+  OnControlThread on_control_thread_;
+};
+
+}  // namespace sequoialb
--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -1,8 +1,5 @@
 #include "fleet/fleet_host.h"
 
-#include <sys/eventfd.h>
-#include <unistd.h>
-
 #include <algorithm>
 
 #include "base/hash.h"
@@ -44,8 +41,7 @@
       gateway_protocol_(gateway),
       control_protocol_(control),
       incarnation_(static_cast<uint64_t>(UnixMs())),
-      files_(MakePosixFileSystem()),
-      wake_fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
+      files_(MakePosixFileSystem()) {}
 
 Result<std::unique_ptr<FleetHost>> FleetHost::Start(
     const FleetSettings& settings, const GatewayProtocol& gateway,
@@ -108,6 +104,9 @@
       return tl::unexpected<Error>(control.error());
     }
     control_ = std::move(*control);
+    control_entry_ = std::make_unique<ControlEntry>(
+        loop_, control_protocol_, *control_,
+        [this](std::function<void()> task) { PostControl(std::move(task)); });
   }
   if (settings_.store) {
     auto store = StoreService::Open(Describe(), settings_.data_folder,
@@ -197,7 +196,8 @@
   if (status) {
     status = open(
         settings_.control, operator_limits,
-        [this](const auto& e) { OnControlRequest(e); }, control_server_);
+        [this](const auto& e) { control_entry_->OnRequest(e); },
+        control_server_);
   }
   if (status) {
     status = open(
@@ -308,33 +308,14 @@
 }
 
 void FleetHost::PostControl(std::function<void()> task) {
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    posted_.push_back(std::move(task));
-  }
-  const uint64_t one = 1;
-  [[maybe_unused]] const ssize_t written = ::write(wake_fd_, &one, sizeof(one));
-}
-
-void FleetHost::RunPosted() {
-  uint64_t ignored = 0;
-  [[maybe_unused]] const ssize_t read =
-      ::read(wake_fd_, &ignored, sizeof(ignored));
-  std::vector<std::function<void()>> tasks;
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    tasks.swap(posted_);
-  }
-  for (const std::function<void()>& task : tasks) {
-    task();
-  }
+  posted_.Add(std::move(task));
 }
 
 void FleetHost::RunControl() {
   TimePoint tick_due = BootNow();
   while (!stopping_) {
     std::vector<zmq::pollitem_t> items;
-    items.push_back({nullptr, wake_fd_, ZMQ_POLLIN, 0});
+    items.push_back({nullptr, posted_.fd(), ZMQ_POLLIN, 0});
     links_->AddPollItems(items);
     const int64_t wait_ms =
         links_->HasLocal() ? 0 : RemainingMs(tick_due, BootNow()) + 1;
@@ -350,7 +331,7 @@
           Handle(from, message);
         });
     if ((items[0].revents & ZMQ_POLLIN) != 0) {
-      RunPosted();
+      posted_.RunAll();
     }
     if (control_ != nullptr) {
       control_->Flush(BootNow());
@@ -574,77 +555,6 @@
   exchange->Respond(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n");
 }
 
-void FleetHost::OnControlRequest(
-    const std::shared_ptr<HttpExchange>& exchange) {
-  auto request = control_protocol_.Decode(exchange->head(), exchange->body());
-  if (!request) {
-    LogInfo("control_call_refused",
-            {{"target", exchange->head().target},
-             {"error", std::string(ErrorName(request.error().code))},
-             {"detail", request.error().detail}});
-    exchange->Respond(HttpStatus(request.error().code), {},
-                      request.error().detail + "\n");
-    return;
-  }
-  HttpHeaders json;
-  json.Add("Content-Type", "application/json");
-  if (auto* announce = std::get_if<AnnounceBackend>(&*request)) {
-    PostControl([this, exchange, json, record = announce->record] {
-      control_->Announce(record, BootNow());
-      loop_.Post([exchange, json] { exchange->Respond(200, json, "{}"); });
-    });
-    return;
-  }
-  if (auto* leaves = std::get_if<BackendLeaves>(&*request)) {
-    PostControl([this, exchange, json, id = leaves->id] {
-      control_->BackendGone(id, BootNow());
-      loop_.Post([exchange, json] { exchange->Respond(200, json, "{}"); });
-    });
-    return;
-  }
-  proto::ControlCall call;
-  bool retire_status = false;
-  if (auto* put = std::get_if<PutCatalog>(&*request)) {
-    call.mutable_put_catalog()->set_version(put->version);
-    call.mutable_put_catalog()->set_content(std::move(put->content));
-  } else if (std::holds_alternative<ReadCatalog>(*request)) {
-    call.set_read_catalog(true);
-  } else if (auto* retire = std::get_if<RetireHost>(&*request)) {
-    call.set_retire_host(retire->host);
-  } else {
-    call.set_retire_status(std::get<AskRetired>(*request).host);
-    retire_status = true;
-  }
-  PassControlCall(exchange, std::move(call), retire_status);
-}
-
-void FleetHost::PassControlCall(const std::shared_ptr<HttpExchange>& exchange,
-                                proto::ControlCall call, bool retire_status) {
-  const auto done = [this, exchange,
-                     retire_status](const proto::ControlAnswer& answer) {
-    loop_.Post([this, exchange, answer, retire_status] {
-      HttpHeaders json;
-      json.Add("Content-Type", "application/json");
-      if (!answer.error_name().empty()) {
-        LogInfo("control_call_failed", {{"target", exchange->head().target},
-                                        {"error", answer.error_name()},
-                                        {"detail", answer.detail()}});
-        exchange->Respond(HttpStatus(ErrorCodeFromName(answer.error_name())),
-                          {}, answer.detail() + "\n");
-      } else if (retire_status) {
-        exchange->Respond(200, json,
-                          control_protocol_.EncodeRetired(answer.retired()));
-      } else {
-        exchange->Respond(200, json,
-                          answer.catalog().empty() ? "{}" : answer.catalog());
-      }
-    });
-  };
-  PostControl([this, call = std::move(call), done] {
-    control_->Call(call, BootNow(), done);
-  });
-}
-
 void FleetHost::Reload(const FleetSettings& settings) {
   LogInfo("settings_reloaded",
           {{"seeds", std::to_string(settings.seeds.size())}});
@@ -694,7 +604,6 @@
   ready_server_.reset();
   control_server_.reset();
   metrics_server_.reset();
-  ::close(wake_fd_);
 }
 
 }  // namespace sequoialb
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -10,11 +10,12 @@
 #include <atomic>
 #include <functional>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "base/task_queue.h"
+#include "fleet/control_entry.h"
 #include "fleet/control_protocol.h"
 #include "fleet/control_service.h"
 #include "fleet/fleet_member.h"
@@ -55,7 +56,6 @@
   // The control thread.
   void PostControl(std::function<void()> task);
   void RunControl();
-  void RunPosted();
   void TickControl(TimePoint now);
   void Handle(const std::string& from, const proto::FleetMessage& message);
   void PublishBackends(TimePoint now);
@@ -67,9 +67,6 @@
   // The traffic thread.
   void OnFrontRequest(const std::shared_ptr<HttpExchange>& exchange);
   void OnReadyRequest(const std::shared_ptr<HttpExchange>& exchange);
-  void OnControlRequest(const std::shared_ptr<HttpExchange>& exchange);
-  void PassControlCall(const std::shared_ptr<HttpExchange>& exchange,
-                       proto::ControlCall call, bool retire_status);
   void ReportItems();
   void ReportLoad();
   void PumpSoon();
@@ -94,6 +91,7 @@
   std::unique_ptr<Gateway> gateway_;
   std::unique_ptr<ItemRunner> items_;
   std::unique_ptr<JobEntry> job_entry_;
+  std::unique_ptr<ControlEntry> control_entry_;
   std::unique_ptr<HttpServer> front_server_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> control_server_;
@@ -104,9 +102,8 @@
   TimePoint told_at_;
   TimePoint summary_due_;
 
-  int wake_fd_ = -1;
-  std::mutex mutex_;
-  std::vector<std::function<void()>> posted_;
+  // Tasks for the control thread.
+  TaskQueue posted_;
   std::atomic<bool> stopping_{false};
   std::atomic<size_t> busy_{0};
   std::thread control_thread_;
--- a/src/host/host.cc
+++ b/src/host/host.cc
@@ -1,8 +1,5 @@
 #include "host/host.h"
 
-#include <sys/eventfd.h>
-#include <unistd.h>
-
 #include <future>
 
 #include "base/check.h"
@@ -34,8 +31,7 @@
 }
 
 tl::expected<void, Error> Host::Open() {
-  wake_fd_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-  if (wake_fd_ < 0) {
+  if (posted_.fd() < 0) {
     return Fail(ErrorCode::kIo, "eventfd failed");
   }
   auto transport = PeerTransport::Open(settings_, incarnation_, metrics_);
@@ -82,39 +78,15 @@
   }
   replica_.reset();
   blobs_.reset();
-  if (wake_fd_ >= 0) {
-    ::close(wake_fd_);
-  }
-}
-
-void Host::Post(std::function<void()> task) {
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    posted_.push_back(std::move(task));
-  }
-  const uint64_t one = 1;
-  [[maybe_unused]] const ssize_t written = ::write(wake_fd_, &one, sizeof(one));
 }
 
-void Host::RunPosted() {
-  uint64_t ignored = 0;
-  [[maybe_unused]] const ssize_t read =
-      ::read(wake_fd_, &ignored, sizeof(ignored));
-  std::vector<std::function<void()>> tasks;
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    tasks.swap(posted_);
-  }
-  for (const std::function<void()>& task : tasks) {
-    task();
-  }
-}
+void Host::Post(std::function<void()> task) { posted_.Add(std::move(task)); }
 
 void Host::Run() {
   TimePoint tick_due = Clock::now();
   while (!stopping_) {
     std::vector<zmq::pollitem_t> items;
-    items.push_back({nullptr, wake_fd_, ZMQ_POLLIN, 0});
+    items.push_back({nullptr, posted_.fd(), ZMQ_POLLIN, 0});
     transport_->AddPollItems(items);
     const TimePoint before = Clock::now();
     // Rounded up: a wait of a fraction of a millisecond would be a busy loop.
@@ -129,7 +101,7 @@
     }
     transport_->Drain(
         [this](const proto::Envelope& envelope) { Handle(envelope); });
-    RunPosted();
+    posted_.RunAll();
     if (replica_ != nullptr) {
       replica_->Flush(Clock::now());
     }
--- a/src/host/host.h
+++ b/src/host/host.h
@@ -8,12 +8,12 @@
 #include <atomic>
 #include <functional>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "base/error.h"
+#include "base/task_queue.h"
 #include "config/config_view.h"
 #include "consensus/replica.h"
 #include "dispatch/dispatch_service.h"
@@ -100,7 +100,6 @@
   void Handle(const proto::Envelope& envelope);
   void Tick(TimePoint now);
   void TickRates();
-  void RunPosted();
   template <typename T>
   T OnControl(const std::function<T()>& read);
 
@@ -120,9 +119,7 @@
   WorkHandlers handlers_;
   TimePoint reconcile_due_;
 
-  int wake_fd_ = -1;
-  std::mutex mutex_;
-  std::vector<std::function<void()>> posted_;
+  TaskQueue posted_;
   std::atomic<bool> stopping_{false};
   std::atomic<bool> leaving_{false};
   std::thread thread_;
--- a/src/http/event_loop.cc
+++ b/src/http/event_loop.cc
@@ -1,7 +1,6 @@
 #include "http/event_loop.h"
 
 #include <sys/epoll.h>
-#include <sys/eventfd.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -24,20 +23,15 @@
 }  // namespace
 
 EventLoop::EventLoop()
-    : epoll_fd_(::epoll_create1(EPOLL_CLOEXEC)),
-      wake_fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
-      now_(Clock::now()) {
-  SEQ_CHECK(epoll_fd_ >= 0 && wake_fd_ >= 0, "no descriptors for the loop");
+    : epoll_fd_(::epoll_create1(EPOLL_CLOEXEC)), now_(Clock::now()) {
+  SEQ_CHECK(epoll_fd_ >= 0 && posted_.fd() >= 0, "no descriptors for the loop");
   epoll_event event{};
   event.events = EPOLLIN;
   event.data.u64 = kWakeToken;
-  ::epoll_ctl(epoll_fd_, EPOLL_CTL_ADD, wake_fd_, &event);
+  ::epoll_ctl(epoll_fd_, EPOLL_CTL_ADD, posted_.fd(), &event);
 }
 
-EventLoop::~EventLoop() {
-  ::close(wake_fd_);
-  ::close(epoll_fd_);
-}
+EventLoop::~EventLoop() { ::close(epoll_fd_); }
 
 void EventLoop::Watch(int fd, IoHandler* handler, bool read, bool write) {
   const auto index = static_cast<size_t>(fd);
@@ -87,12 +81,7 @@
 }
 
 void EventLoop::Post(std::function<void()> task) {
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    posted_.push_back(std::move(task));
-  }
-  const uint64_t one = 1;
-  [[maybe_unused]] const ssize_t written = ::write(wake_fd_, &one, sizeof(one));
+  posted_.Add(std::move(task));
 }
 
 void EventLoop::Stop() {
@@ -123,20 +112,6 @@
   }
 }
 
-void EventLoop::RunPosted() {
-  uint64_t ignored = 0;
-  [[maybe_unused]] const ssize_t read =
-      ::read(wake_fd_, &ignored, sizeof(ignored));
-  std::vector<std::function<void()>> tasks;
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    tasks.swap(posted_);
-  }
-  for (const std::function<void()>& task : tasks) {
-    task();
-  }
-}
-
 void EventLoop::Run() {
   std::array<epoll_event, kEventsPerTurn> events{};
   while (!stopping_) {
@@ -146,7 +121,7 @@
     for (int i = 0; i < count; ++i) {
       const epoll_event& event = events[static_cast<size_t>(i)];
       if (event.data.u64 == kWakeToken) {
-        RunPosted();
+        posted_.RunAll();
         continue;
       }
       const auto fd = static_cast<size_t>(event.data.u64 & 0xffffffffU);
--- a/src/http/event_loop.h
+++ b/src/http/event_loop.h
@@ -9,10 +9,10 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <unordered_map>
 #include <vector>
 
+#include "base/task_queue.h"
 #include "base/time.h"
 
 namespace sequoialb {
@@ -62,10 +62,8 @@
 
   int WaitMs() const;
   void RunTimers();
-  void RunPosted();
 
   int epoll_fd_ = -1;
-  int wake_fd_ = -1;
   TimePoint now_;
   uint32_t next_generation_ = 1;
   std::vector<Watched> watched_;
@@ -73,8 +71,7 @@
   std::map<std::pair<TimePoint, TimerId>, std::function<void()>> timers_;
   std::unordered_map<TimerId, TimePoint> timer_times_;
   std::vector<std::shared_ptr<void>> disposed_;
-  std::mutex mutex_;
-  std::vector<std::function<void()>> posted_;
+  TaskQueue posted_;
   bool stopping_ = false;
 };
 
