--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -215,27 +215,6 @@
   return static_cast<size_t>(std::max(0.0, HomeFree(now) - ItemReserve(now)));
 }
 
-bool BackendPool::Serves(const std::string& service, TimePoint now) const {
-  (void)now;
-  return std::any_of(loads_.begin(), loads_.end(), [&](const auto& entry) {
-    return entry.second.usable && entry.second.backend.service == service;
-  });
-}
-
-BackendPool::Slots BackendPool::SlotsOf(const std::string& service,
-                                        TimePoint now) const {
-  Slots slots;
-  for (const auto& [id, load] : loads_) {
-    if (load.usable && load.backend.service == service &&
-        now >= load.avoid_until) {
-      const auto all = static_cast<double>(load.backend.slots);
-      slots.all += all;
-      slots.free += std::max(0.0, all - Busy(load, now));
-    }
-  }
-  return slots;
-}
-
 std::string BackendPool::Summary(TimePoint now) const {
   size_t usable = 0;
   size_t home = 0;
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -61,8 +61,6 @@
                                    TimePoint now) const;
   // Batch items that could start now.
   size_t ItemRoom(TimePoint now) const;
-  // True when some server of the service takes work, full or not.
-  bool Serves(const std::string& service, TimePoint now) const;
 
   // Accounts for own requests.
   void Sent(const std::string& backend, bool item);
@@ -88,11 +86,6 @@
   void Failed(const std::string& backend, TimePoint now);
   void Succeeded(const std::string& backend);
 
-  // Slots of usable servers of a service that look free, and all of them.
-  struct Slots {
-    double free = 0;
-    double all = 0;
-  };
   // What is known of a server's load, for logs: own requests, own items, and
   // others with the age of that report.
   std::string Describe(const std::string& backend, TimePoint now) const;
@@ -100,8 +93,6 @@
   // Totals over all usable servers, for logs.
   std::string Summary(TimePoint now) const;
 
-  Slots SlotsOf(const std::string& service, TimePoint now) const;
-
  private:
   struct Load {
     UsableBackend backend;
--- a/src/group/consensus_group.cc
+++ b/src/group/consensus_group.cc
@@ -515,8 +515,8 @@
 }
 
 // What reached the disk after a failed write is unknown, so the process ends
-// and starts again from what is durable. Not at once: a full or broken disk stays
-// so for seconds, and a host that restarts all the while helps nobody.
+// and starts again from what is durable. Not at once: a full or broken disk
+// stays so for seconds, and a host that restarts all the while helps nobody.
 void ConsensusGroup::DiskFailed(const Error& error) const {
   LogError("disk_failed", {{"group", options_.name},
                            {"error", std::string(ErrorName(error.code))},
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -85,11 +85,11 @@
   if (!choice) {
     return false;
   }
-  Send(run, *choice, *route);
+  Send(run, *choice);
   return true;
 }
 
-void ItemRunner::Send(Run& run, const Choice& choice, const Route& route) {
+void ItemRunner::Send(Run& run, const Choice& choice) {
   const proto::JobItem& item = run.offer.item();
   ForwardFields fields;
   fields.id = item.id();
@@ -118,7 +118,6 @@
   options.echo_value = item.id();
   options.most_idle = kMostIdle;
   options.connect_deadline = front_.loop.now() + kConnectTime;
-  (void)route;
   CallEvents events;
   events.on_head = [this, &run](const ResponseHead& head) {
     OnHead(run, head);
--- a/src/jobs/item_runner.h
+++ b/src/jobs/item_runner.h
@@ -49,7 +49,7 @@
   using Key = std::pair<std::string, std::string>;
 
   bool TryStart(Run& run);
-  void Send(Run& run, const Choice& choice, const Route& route);
+  void Send(Run& run, const Choice& choice);
   void OnHead(Run& run, const ResponseHead& head);
   void OnData(Run& run, std::string_view data);
   void End(Run& run, proto::ItemOutcome::Kind kind);
--- a/test/correctness/gateway_decisions_test.cc
+++ b/test/correctness/gateway_decisions_test.cc
@@ -134,9 +134,9 @@
   pool.SetUsable({Server("a", true, true)});
   EXPECT_FALSE(pool.ChooseOnline("s", {"a"}, At(0)).has_value());
   EXPECT_FALSE(pool.ChooseOnline("other", {}, At(0)).has_value());
-  EXPECT_TRUE(pool.Serves("s", At(0)));
+  EXPECT_TRUE(pool.ChooseOnline("s", {}, At(0)).has_value());
   pool.SetUsable({});
-  EXPECT_FALSE(pool.Serves("s", At(0)));
+  EXPECT_FALSE(pool.ChooseOnline("s", {}, At(0)).has_value());
 }
 
 WaitingRequest Waiting(uint64_t number, int64_t arrived_ms,
