Repeat a lost ask for a slot well before its deadline

The asking host repeated after 1.5 s; the limit for a first token is 1.2 s, so the request ended with "no dispatcher answered". Ruled out: a dispatcher that changes (asked again within 0.1 s). Change: repeat after 0.3 s; a dispatcher that still has the ask ignores it. Before: the new test saw one ask within the limit; after: two.

--- a/src/dispatch/dispatch_service.cc
+++ b/src/dispatch/dispatch_service.cc
@@ -13,8 +13,11 @@
 constexpr milliseconds kHeldInterval{300};
 constexpr milliseconds kLoadInterval{250};
 constexpr milliseconds kResend{100};
-// The same dispatcher is asked again in case a message was lost.
-constexpr milliseconds kRepeat{1'500};
+// The same dispatcher is asked again in case the ask or its passing on met a
+// host that was just lost: several times within the default limit of 1.2 s for
+// a first token, and beyond the round trips of an answer. A dispatcher that has
+// the ask still waiting ignores the repetition.
+constexpr milliseconds kRepeat{300};
 constexpr milliseconds kAbandonedCheck{250};
 // A request that outlives the dispatcher's word by this much is given up here.
 constexpr milliseconds kReplyMargin{200};
--- /dev/null
+++ b/test/correctness/dispatch_service_test.cc
@@ -0,0 +1,107 @@
+// A host asks its dispatcher for a slot, and the words between them get lost.
+#include "dispatch/dispatch_service.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <future>
+
+namespace sequoialb {
+namespace {
+
+// Records what the service sends.
+class RecordingSender : public PeerSender {
+ public:
+  void Send(const std::string& host, proto::Envelope envelope) override {
+    sent.emplace_back(host, std::move(envelope));
+  }
+
+  size_t AsksTo(const std::string& host) const {
+    return static_cast<size_t>(
+        std::count_if(sent.begin(), sent.end(), [&](const auto& entry) {
+          return entry.first == host && entry.second.has_slot_request();
+        }));
+  }
+
+  std::vector<std::pair<std::string, proto::Envelope>> sent;
+};
+
+class DispatchServiceTest : public ::testing::Test {
+ protected:
+  DispatchServiceTest() {
+    settings_.host = "h4";
+    settings_.failure_domain = "d1";
+    for (const char* host : {"h4", "h1"}) {
+      HostEntry entry;
+      entry.host = host;
+      entry.failure_domain = "d1";
+      settings_.hosts.push_back(entry);
+    }
+  }
+
+  // The other host of the domain says that it is there.
+  void Ping(TimePoint now) {
+    proto::Envelope ping;
+    ping.set_from("h1");
+    ping.mutable_ping()->set_incarnation(1);
+    service_.OnEnvelope(ping, now);
+  }
+
+  void AnswerAsk(uint64_t request, TimePoint now) {
+    proto::Envelope reply;
+    reply.set_from("h1");
+    reply.mutable_slot_reply()->set_request_id(request);
+    reply.mutable_slot_reply()->set_slot(7);
+    reply.mutable_slot_reply()->mutable_backend()->set_id("e1");
+    service_.OnEnvelope(reply, now);
+  }
+
+  // Waits until another thread has posted, and runs that.
+  void RunPosted() {
+    posted_.get_future().get()();
+    posted_ = {};
+  }
+
+  Settings settings_;
+  RecordingSender sender_;
+  Metrics metrics_;
+  std::promise<std::function<void()>> posted_;
+  DispatchService service_{settings_, 1, sender_, metrics_,
+                           [this](std::function<void()> task) {
+                             posted_.set_value(std::move(task));
+                           }};
+};
+
+// The first ask, or the dispatcher's passing it on to another domain, meets a
+// host that was lost a moment ago. Nobody says so; only asking again helps, and
+// it must happen well before the shortest usual limit for a first token.
+TEST_F(DispatchServiceTest, AnAskThatIsLostIsRepeatedBeforeItsDeadline) {
+  const milliseconds limit(1'200);
+  const TimePoint start = Clock::now();
+  Ping(start);
+  ASSERT_EQ(service_.DispatcherHost("d1"), "h1");
+  SlotNeed need;
+  need.service = "s";
+  auto acquired = std::async(std::launch::async, [&] {
+    return service_.Acquire(need, start + limit);
+  });
+  RunPosted();
+  ASSERT_EQ(sender_.AsksTo("h1"), 1U);
+  const uint64_t request =
+      sender_.sent.back().second.slot_request().request_id();
+  // Virtual time: the asker still hears the other host's pings.
+  TimePoint now = Clock::now();
+  while (now < start + limit && sender_.AsksTo("h1") < 2) {
+    now += milliseconds(20);
+    Ping(now);
+    service_.Tick(now);
+  }
+  EXPECT_EQ(sender_.AsksTo("h1"), 2U);
+  AnswerAsk(request, now);
+  const auto lease = acquired.get();
+  ASSERT_TRUE(lease) << lease.error().detail;
+  EXPECT_EQ((*lease)->backend().id(), "e1");
+}
+
+}  // namespace
+}  // namespace sequoialb
