--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -581,6 +581,10 @@
   log_.CompactTo(index);
 }
 
+void Raft::LimitLog(uint64_t bytes) {
+  log_.CompactTo(log_.IndexToFit(bytes, handed_out_));
+}
+
 bool Raft::InstallSnapshot(SnapshotMark snapshot, TimePoint now) {
   ResetElectionDeadline(now);
   if (snapshot.index <= commit_) {
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -63,6 +63,10 @@
   // Drops log entries that a local snapshot now covers.
   void CompactTo(uint64_t index);
 
+  // Drops the oldest applied entries while the log in memory holds more than
+  // `bytes` of commands.
+  void LimitLog(uint64_t bytes);
+
   // Replaces the log by a durable snapshot of the leader. Returns false when it
   // is older than what is already committed.
   bool InstallSnapshot(SnapshotMark snapshot, TimePoint now);
@@ -83,6 +87,7 @@
   const std::string& leader() const { return leader_; }
   const std::string& node() const { return node_; }
   uint64_t commit_index() const { return commit_; }
+  uint64_t first_index() const { return log_.first_index(); }
   uint64_t last_index() const { return log_.last_index(); }
   const SnapshotMark& snapshot() const { return log_.snapshot(); }
   // Returns the mark of a snapshot that covers the log up to an applied entry.
--- a/src/consensus/raft_log.cc
+++ b/src/consensus/raft_log.cc
@@ -1,5 +1,7 @@
 #include "consensus/raft_log.h"
 
+#include <algorithm>
+
 #include "base/check.h"
 
 namespace sequoialb {
@@ -45,6 +47,7 @@
   if (entry.has_membership()) {
     memberships_.emplace_back(entry.index(), entry.membership());
   }
+  bytes_ += entry.command().size();
   entries_.push_back(std::move(entry));
 }
 
@@ -52,6 +55,7 @@
   SEQ_CHECK(index > snapshot_.index,
             index << " is in the snapshot " << snapshot_.index);
   while (last_index() >= index) {
+    bytes_ -= entries_.back().command().size();
     entries_.pop_back();
   }
   while (memberships_.back().first >= index) {
@@ -70,14 +74,26 @@
   }
   snapshot_.membership = memberships_.front().second;
   while (!entries_.empty() && entries_.front().index() <= index) {
+    bytes_ -= entries_.front().command().size();
     entries_.pop_front();
   }
   snapshot_.index = index;
 }
 
+uint64_t RaftLog::IndexToFit(uint64_t limit, uint64_t most) const {
+  uint64_t index = snapshot_.index;
+  uint64_t left = bytes_;
+  while (left > limit && index < std::min(most, last_index())) {
+    ++index;
+    left -= At(index).command().size();
+  }
+  return index;
+}
+
 void RaftLog::Reset(SnapshotMark snapshot) {
   snapshot_ = std::move(snapshot);
   entries_.clear();
+  bytes_ = 0;
   memberships_.clear();
   memberships_.emplace_back(snapshot_.index, snapshot_.membership);
 }
--- a/src/consensus/raft_log.h
+++ b/src/consensus/raft_log.h
@@ -36,6 +36,10 @@
   // Drops the entries up to `index`, which are in a snapshot now.
   void CompactTo(uint64_t index);
 
+  // Returns the entry up to which the log must be compacted, `most` at the
+  // furthest, to hold no more than `limit` bytes of commands.
+  uint64_t IndexToFit(uint64_t limit, uint64_t most) const;
+
   // Replaces everything by a snapshot received from the leader.
   void Reset(SnapshotMark snapshot);
 
@@ -49,6 +53,8 @@
  private:
   SnapshotMark snapshot_;
   std::deque<proto::LogEntry> entries_;
+  // Of the entries' commands.
+  uint64_t bytes_ = 0;
   std::vector<std::pair<uint64_t, proto::Membership>> memberships_;
 };
 
--- a/src/fleet/control_service.cc
+++ b/src/fleet/control_service.cc
@@ -95,7 +95,8 @@
   for (const auto& [host, heard] : heard_) {
     text += host + " " + heard.info.peer_address() + " " + heard.info.node() +
             " " + std::to_string(heard.info.incarnation()) + " " +
-            heard.info.group().leader_host() + "\n";
+            heard.info.group().leader_host() +
+            (heard.info.group().member() ? " member\n" : "\n");
   }
   return Hash64(text);
 }
--- a/src/fleet/control_state.cc
+++ b/src/fleet/control_state.cc
@@ -1,5 +1,7 @@
 #include "fleet/control_state.h"
 
+#include <utility>
+
 #include "observe/log.h"
 
 namespace sequoialb {
@@ -27,7 +29,7 @@
   return {};
 }
 
-std::string ControlState::Save() const {
+StateParts ControlState::Save() const {
   proto::ControlSnapshot saved;
   saved.set_has_catalog(has_catalog_);
   saved.set_catalog_version(catalog_version_);
@@ -38,12 +40,15 @@
   for (const std::string& host : retiring_hosts_) {
     saved.add_retiring_hosts(host);
   }
-  return saved.SerializeAsString();
+  return [bytes =
+              std::optional<std::string>(saved.SerializeAsString())]() mutable {
+    return std::exchange(bytes, std::nullopt);
+  };
 }
 
-Status ControlState::Load(const std::string& saved) {
+Status ControlState::LoadPart(const std::string& part) {
   proto::ControlSnapshot parsed;
-  if (!parsed.ParseFromString(saved)) {
+  if (!parsed.ParseFromString(part)) {
     return Fail(ErrorCode::kCorrupt, "the control state cannot be read");
   }
   has_catalog_ = parsed.has_catalog();
--- a/src/fleet/control_state.h
+++ b/src/fleet/control_state.h
@@ -17,8 +17,9 @@
   // A catalog that is not newer changes nothing and succeeds: it is a resend,
   // or a higher version has overtaken it.
   Status Apply(const std::string& command) override;
-  std::string Save() const override;
-  Status Load(const std::string& saved) override;
+  StateParts Save() const override;
+  void Clear() override { *this = ControlState(); }
+  Status LoadPart(const std::string& part) override;
 
   bool has_catalog() const { return has_catalog_; }
   uint64_t catalog_version() const { return catalog_version_; }
--- a/src/group/consensus_group.cc
+++ b/src/group/consensus_group.cc
@@ -7,6 +7,7 @@
 #include "base/check.h"
 #include "base/hash.h"
 #include "consensus/group_formation.h"
+#include "consensus/snapshot_file.h"
 #include "observe/log.h"
 #include "proto/storage.pb.h"
 
@@ -14,14 +15,12 @@
 namespace {
 
 constexpr const char* kIdentityFile = "identity";
-constexpr const char* kSnapshotPrefix = "state-";
 // Between a failed write and the end of the process.
 constexpr milliseconds kDiskPause{2'000};
+// A snapshot that could not be written is tried again after this.
+constexpr milliseconds kSnapshotRetry{2'000};
 // A learner this close to the leader's commit may vote.
 constexpr uint64_t kCaughtUpEntries = 64;
-// Entries kept behind a snapshot, so that a member that was away for a moment
-// needs no snapshot.
-constexpr uint64_t kTrailingEntries = 64;
 
 // Agreement within a region of a few milliseconds across: a new leader within
 // about a second of the old one's end.
@@ -33,18 +32,26 @@
   return timing;
 }
 
-Result<proto::GroupSnapshot> DecodeGroupSnapshot(const std::string& data,
-                                                 const std::string& origin) {
-  proto::GroupSnapshot snapshot;
-  if (!snapshot.ParseFromString(data) ||
-      snapshot.checksum() != Hash64(snapshot.state())) {
-    return Fail(ErrorCode::kCorrupt, origin + ": the checksum does not match");
-  }
-  return snapshot;
-}
-
-SnapshotMark MarkOf(const proto::GroupSnapshot& snapshot) {
-  return {snapshot.index(), snapshot.term(), snapshot.membership()};
+// Loads the parts of a snapshot; returns their bytes together.
+Result<uint64_t> LoadParts(std::string_view data, const std::string& origin,
+                           GroupState& state) {
+  state.Clear();
+  Status loaded;
+  uint64_t bytes = 0;
+  const auto mark =
+      DecodeSnapshot(data, origin, [&](const proto::SnapshotPart& part) {
+        if (loaded) {
+          loaded = state.LoadPart(part.group_state());
+          bytes += part.group_state().size();
+        }
+      });
+  if (!mark) {
+    return tl::unexpected<Error>(mark.error());
+  }
+  if (!loaded) {
+    return tl::unexpected<Error>(loaded.error());
+  }
+  return bytes;
 }
 
 }  // namespace
@@ -55,6 +62,7 @@
       files_(files),
       state_(state),
       send_(std::move(send)),
+      writer_(files, options_.folder, options_.write_aside),
       committed_(metrics.counter("sequoialb_group_committed_total",
                                  "group=\"" + options_.name + "\"")),
       voters_(metrics.gauge("sequoialb_group_voters",
@@ -123,7 +131,7 @@
 }
 
 std::string ConsensusGroup::SnapshotPath(uint64_t index) const {
-  return options_.folder + "/" + kSnapshotPrefix + std::to_string(index);
+  return options_.folder + "/" + SnapshotFileName(index);
 }
 
 Status ConsensusGroup::LoadSnapshot(RaftPersistent& persistent) {
@@ -133,13 +141,13 @@
   if (!data) {
     return tl::unexpected<Error>(data.error());
   }
-  const auto snapshot = DecodeGroupSnapshot(*data, path);
-  if (!snapshot) {
-    return tl::unexpected<Error>(snapshot.error());
+  const auto bytes = LoadParts(*data, path, state_);
+  if (!bytes) {
+    return tl::unexpected<Error>(bytes.error());
   }
-  applied_ = snapshot->index();
-  state_bytes_ = snapshot->state().size();
-  return state_.Load(snapshot->state());
+  applied_ = snapshot_index_;
+  state_bytes_ = *bytes;
+  return RemoveOtherSnapshots(files_, options_.folder, snapshot_index_);
 }
 
 Status ConsensusGroup::OpenDisk(TimePoint now) {
@@ -244,7 +252,9 @@
     }
   }
   SetGauges();
-  MaybeSnapshot();
+  FinishSnapshot(now);
+  MaybeSnapshot(now);
+  raft_->LimitLog(options_.log_memory_bytes);
 }
 
 void ConsensusGroup::Propose(const std::string& command, TimePoint now,
@@ -296,6 +306,7 @@
   const bool led = last_role_ == RaftRole::kLeader;
   if (led && (!leads() || raft_->term() != last_term_)) {
     sender_.Clear();
+    awaiting_snapshot_.clear();
     DropPending();
   }
   if (raft_->role() != last_role_ || raft_->leader() != last_leader_) {
@@ -358,6 +369,7 @@
   input.retiring = retiring;
   input.leader = node_;
   input.most_voters = options_.most_voters;
+  input.stand_bys = options_.stand_bys;
   input.leads_since = leads_since_;
   input.now = now;
   for (const std::string& learner : input.membership.learners()) {
@@ -386,53 +398,80 @@
            {"outcome", proposed ? "proposed" : proposed.error().detail}});
 }
 
-void ConsensusGroup::MaybeSnapshot() {
-  if (log_bytes_ < options_.snapshot_log_bytes ||
-      log_bytes_ < 2 * state_bytes_ || applied_ <= snapshot_index_) {
+void ConsensusGroup::MaybeSnapshot(TimePoint now) {
+  // Some lag further behind than the last snapshot and the log reach.
+  const bool wanted = !awaiting_snapshot_.empty();
+  const bool grown =
+      log_bytes_ >= options_.snapshot_log_bytes && log_bytes_ >= state_bytes_;
+  if (writer_.busy() || now < snapshot_due_ || applied_ <= snapshot_index_ ||
+      (!wanted && !grown)) {
     return;
   }
-  const SnapshotMark mark = raft_->MarkAt(applied_);
-  proto::GroupSnapshot snapshot;
-  snapshot.set_index(mark.index);
-  snapshot.set_term(mark.term);
-  *snapshot.mutable_membership() = mark.membership;
-  snapshot.set_state(state_.Save());
-  snapshot.set_checksum(Hash64(snapshot.state()));
-  state_bytes_ = snapshot.state().size();
-  Status done = WriteFileDurably(files_, options_.folder,
-                                 kSnapshotPrefix + std::to_string(mark.index),
-                                 snapshot.SerializeAsString());
-  if (done) {
-    done = storage_->MarkSnapshot(mark, false);
+  log_bytes_before_ = log_bytes_;
+  writer_.Start(raft_->MarkAt(applied_), state_.Save());
+}
+
+void ConsensusGroup::FinishSnapshot(TimePoint now) {
+  const auto finished = writer_.TakeFinished();
+  if (!finished) {
+    return;
   }
-  if (!done) {
-    DiskFailed(done.error());
+  if (!*finished) {
+    // The log still holds everything, so a full disk may recover.
+    LogWarn("snapshot_not_written",
+            {{"group", options_.name}, {"reason", finished->error().detail}});
+    snapshot_due_ = now + kSnapshotRetry;
+    return;
   }
-  if (snapshot_index_ > 0) {
-    const Status removed = files_.Remove(SnapshotPath(snapshot_index_));
-    if (!removed) {
-      LogWarn("old_snapshot_stays", {{"reason", removed.error().detail}});
+  const WrittenSnapshot& written = **finished;
+  // One that came from the leader meanwhile is newer.
+  if (written.mark.index > snapshot_index_) {
+    const Status marked = storage_->MarkSnapshot(written.mark, false);
+    if (!marked) {
+      DiskFailed(marked.error());
     }
+    snapshot_index_ = written.mark.index;
+    state_bytes_ = written.bytes;
+    log_bytes_ -= std::min(log_bytes_, log_bytes_before_);
+  }
+  const Status removed =
+      RemoveOtherSnapshots(files_, options_.folder, snapshot_index_);
+  if (!removed) {
+    LogWarn("old_snapshot_stays", {{"reason", removed.error().detail}});
   }
-  snapshot_index_ = mark.index;
-  log_bytes_ = 0;
-  raft_->CompactTo(mark.index > kTrailingEntries ? mark.index - kTrailingEntries
-                                                 : 0);
   LogInfo("snapshot_written", {{"group", options_.name},
-                               {"index", std::to_string(mark.index)},
-                               {"bytes", std::to_string(state_bytes_)}});
+                               {"index", std::to_string(written.mark.index)},
+                               {"bytes", std::to_string(written.bytes)}});
+  const std::set<std::string> waiting = std::move(awaiting_snapshot_);
+  awaiting_snapshot_.clear();
+  if (leads()) {
+    StartTransfers({waiting.begin(), waiting.end()}, now);
+  }
 }
 
 void ConsensusGroup::StartTransfers(const std::vector<std::string>& nodes,
                                     TimePoint now) {
+  if (nodes.empty()) {
+    return;
+  }
+  // What follows the snapshot must still be in memory.
+  if (snapshot_index_ + 1 < raft_->first_index()) {
+    awaiting_snapshot_.insert(nodes.begin(), nodes.end());
+    return;
+  }
+  const auto data = files_.Read(SnapshotPath(snapshot_index_));
+  if (!data) {
+    LogWarn("snapshot_unreadable", {{"reason", data.error().detail}});
+    awaiting_snapshot_.insert(nodes.begin(), nodes.end());
+    return;
+  }
+  const auto shared = std::make_shared<const std::string>(*data);
   for (const std::string& node : nodes) {
-    const auto data = files_.Read(SnapshotPath(snapshot_index_));
-    if (!data) {
-      LogWarn("snapshot_unreadable", {{"reason", data.error().detail}});
-      continue;
-    }
-    sender_.Start(node, snapshot_index_,
-                  std::make_shared<const std::string>(*data), now);
+    LogInfo("snapshot_sent", {{"group", options_.name},
+                              {"to", node},
+                              {"index", std::to_string(snapshot_index_)},
+                              {"bytes", std::to_string(shared->size())}});
+    sender_.Start(node, snapshot_index_, shared, now);
   }
 }
 
@@ -484,31 +523,32 @@
 
 void ConsensusGroup::Install(const proto::RaftMessage& message,
                              const std::string& data, TimePoint now) {
-  const auto snapshot = DecodeGroupSnapshot(data, "snapshot from the leader");
-  if (!snapshot) {
-    LogWarn("snapshot_rejected", {{"reason", snapshot.error().detail},
+  const std::string origin = "snapshot from the leader";
+  const auto decoded = DecodeSnapshot(data, origin, [](const auto&) {});
+  if (!decoded) {
+    LogWarn("snapshot_rejected", {{"reason", decoded.error().detail},
                                   {"from", message.from_node()}});
     return;
   }
-  if (!raft_->InstallSnapshot(MarkOf(*snapshot), now)) {
+  const SnapshotMark& mark = *decoded;
+  if (!raft_->InstallSnapshot(mark, now)) {
     return;
   }
-  const SnapshotMark mark = MarkOf(*snapshot);
-  Status done =
-      WriteFileDurably(files_, options_.folder,
-                       kSnapshotPrefix + std::to_string(mark.index), data);
+  Status done = WriteFileDurably(files_, options_.folder,
+                                 SnapshotFileName(mark.index), data);
   if (done) {
     done = storage_->MarkSnapshot(mark, true);
   }
-  if (done) {
-    done = state_.Load(snapshot->state());
-  }
   if (!done) {
     DiskFailed(done.error());
   }
+  const auto bytes = LoadParts(data, origin, state_);
+  if (!bytes) {
+    DiskFailed(bytes.error());
+  }
   applied_ = mark.index;
   snapshot_index_ = mark.index;
-  state_bytes_ = snapshot->state().size();
+  state_bytes_ = *bytes;
   log_bytes_ = 0;
   LogInfo("snapshot_installed",
           {{"group", options_.name}, {"index", std::to_string(mark.index)}});
--- a/src/group/consensus_group.h
+++ b/src/group/consensus_group.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -20,6 +21,7 @@
 #include "consensus/snapshot_transfer.h"
 #include "group/group_state.h"
 #include "group/membership_planner.h"
+#include "group/snapshot_writer.h"
 #include "observe/metrics.h"
 #include "proto/fleet.pb.h"
 
@@ -31,9 +33,17 @@
   std::string host;
   std::string folder;
   size_t most_voters = 3;
-  // The log is cut by a snapshot once it is larger than this and than twice
-  // the state, in bytes.
+  // Members beyond the voters, ready to stand in for one; all candidates when
+  // not set.
+  std::optional<size_t> stand_bys;
+  // The log on the disk is cut by a snapshot once it is larger than this and
+  // than the state, in bytes.
   uint64_t snapshot_log_bytes = 8U << 20U;
+  // Bytes of applied commands that stay in memory for members that lag; one
+  // that lags further gets a snapshot.
+  uint64_t log_memory_bytes = 16U << 20U;
+  // Snapshots are written by a thread of their own.
+  bool write_aside = true;
   // Names a disk that is used for the first time; tests name theirs in turn.
   std::function<std::string(const std::string& host)> name_disk = NewNodeName;
 };
@@ -96,7 +106,8 @@
   void DropPending();
   void NoteRole(TimePoint now);
   void SetGauges();
-  void MaybeSnapshot();
+  void MaybeSnapshot(TimePoint now);
+  void FinishSnapshot(TimePoint now);
   void StartTransfers(const std::vector<std::string>& nodes, TimePoint now);
   void SendChunks(TimePoint now);
   void OnChunk(const proto::RaftMessage& message, TimePoint now);
@@ -118,8 +129,14 @@
   uint64_t applied_ = 0;
   uint64_t snapshot_index_ = 0;
   uint64_t log_bytes_ = 0;
+  // What the snapshot that is being written will cut.
+  uint64_t log_bytes_before_ = 0;
+  TimePoint snapshot_due_;
   uint64_t state_bytes_ = 0;
   std::map<uint64_t, Pending> pending_;
+  SnapshotWriter writer_;
+  // Members that wait for a snapshot that is not written yet.
+  std::set<std::string> awaiting_snapshot_;
   SnapshotSender sender_;
   SnapshotReceiver receiver_;
   RaftRole last_role_ = RaftRole::kFollower;
--- a/src/group/group_state.h
+++ b/src/group/group_state.h
@@ -2,12 +2,17 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
 
 #include "base/error.h"
 
 namespace sequoialb {
 
+// Yields the parts of a saved state one by one; nothing at the end.
+using StateParts = std::function<std::optional<std::string>()>;
+
 class GroupState {
  public:
   virtual ~GroupState() = default;
@@ -16,8 +21,13 @@
   // it depends on nothing but the state and the command.
   virtual Status Apply(const std::string& command) = 0;
 
-  virtual std::string Save() const = 0;
-  virtual Status Load(const std::string& saved) = 0;
+  // Freezes the state as it is now. The parts may be taken by another thread
+  // while commands go on changing the state.
+  virtual StateParts Save() const = 0;
+
+  // Forgets everything, before the parts of another state are loaded.
+  virtual void Clear() = 0;
+  virtual Status LoadPart(const std::string& part) = 0;
 };
 
 }  // namespace sequoialb
--- a/src/group/membership_planner.cc
+++ b/src/group/membership_planner.cc
@@ -108,17 +108,46 @@
     return false;
   }
 
+  bool IsMember(const std::string& node) const {
+    return Contains(next_.voters(), node) || Contains(next_.learners(), node);
+  }
+
+  // Members of a domain; with no domain named, of all, that are there and stay.
+  size_t SoundMembers(const std::string* domain) const {
+    size_t sound = 0;
+    for (const auto& [host, candidate] : in_.candidates) {
+      const bool counts = domain == nullptr
+                              ? !Away(candidate.node)
+                              : candidate.failure_domain == *domain;
+      sound += counts && IsMember(candidate.node) && !Retiring(candidate.node)
+                   ? 1
+                   : 0;
+    }
+    return sound;
+  }
+
+  // The domain with fewest members gets the next one.
   bool AddLearner() {
+    if (in_.stand_bys &&
+        SoundMembers(nullptr) >= in_.most_voters + *in_.stand_bys) {
+      return false;
+    }
+    const GroupCandidate* best = nullptr;
+    size_t fewest = 0;
     for (const auto& [host, candidate] : in_.candidates) {
-      const bool member = Contains(next_.voters(), candidate.node) ||
-                          Contains(next_.learners(), candidate.node);
-      if (!member && in_.retiring.count(host) == 0 &&
-          in_.now - candidate.heard_at <= kAwayAfter) {
-        next_.add_learners(candidate.node);
-        return true;
+      const size_t members = SoundMembers(&candidate.failure_domain);
+      if (!IsMember(candidate.node) && in_.retiring.count(host) == 0 &&
+          in_.now - candidate.heard_at <= kAwayAfter &&
+          (best == nullptr || members < fewest)) {
+        best = &candidate;
+        fewest = members;
       }
     }
-    return false;
+    if (best == nullptr) {
+      return false;
+    }
+    next_.add_learners(best->node);
+    return true;
   }
 
   bool Promote() {
--- a/src/group/membership_planner.h
+++ b/src/group/membership_planner.h
@@ -37,6 +37,9 @@
   std::string leader;
   // Voters wanted at the most; an odd number.
   size_t most_voters = 3;
+  // Learners wanted beyond the voters; every candidate when not set. More
+  // members only cost memory, disk and bytes between failure domains.
+  std::optional<size_t> stand_bys;
   // Since when the leader has led: whom it has not heard for less than this
   // time may just be about to speak.
   TimePoint leads_since;
--- a/src/jobs/item_board.cc
+++ b/src/jobs/item_board.cc
@@ -112,7 +112,7 @@
       continue;
     }
     for (const KeptItem& item : job.items) {
-      const Key key{id, item.item.id()};
+      const Key key{id, item.id()};
       const auto paused = not_before_.find(key);
       if (item.listed || running_.count(key) > 0 ||
           (paused != not_before_.end() && now < paused->second)) {
@@ -142,12 +142,12 @@
 
 void ItemBoard::AddOffer(const std::string& front, const Candidate& next,
                          TimePoint now, proto::ItemOffers& answer) {
-  const Key key{next.job->job.id(), next.item->item.id()};
+  const Key key{next.job->job.id(), next.item->id()};
   proto::ItemOffer& offer = *answer.add_offers();
   offer.set_job(key.first);
   offer.set_account(next.job->job.account());
   offer.set_route_host(next.job->job.route_host());
-  *offer.mutable_item() = next.item->item;
+  *offer.mutable_item() = *next.item->item;
   offer.set_due_left_ms(next.due_at - UnixMs());
   offer.set_attempt(next_attempt_++);
   const auto progress = progress_.find(key);
--- a/src/jobs/job_client.cc
+++ b/src/jobs/job_client.cc
@@ -20,13 +20,16 @@
   if (known != hosts.end() && now - leader_heard_ < kLeaderSilent) {
     return leader_;
   }
+  // Only hosts that hold the group know its leader.
   std::vector<std::string> stores;
+  std::vector<std::string> members;
   for (const auto& [name, info] : hosts) {
     if (info.store()) {
-      stores.push_back(name);
+      (info.group().member() ? members : stores).push_back(name);
     }
   }
-  return stores.empty() ? "" : stores[turn_++ % stores.size()];
+  const std::vector<std::string>& asked = members.empty() ? stores : members;
+  return asked.empty() ? "" : asked[turn_++ % asked.size()];
 }
 
 void JobClient::NoteLeader(const std::string& leader, TimePoint now) {
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -4,6 +4,11 @@
 
 namespace sequoialb {
 
+const std::string& KeptItem::output() const {
+  static const std::string kNone;
+  return result == nullptr ? kNone : *result;
+}
+
 const KeptJob* JobTable::Find(const std::string& id) const {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : &found->second;
@@ -18,7 +23,7 @@
       continue;
     }
     for (const KeptItem& item : job.items) {
-      tokens += item.listed ? 0 : item.item.tokens();
+      tokens += item.listed ? 0 : item.item->tokens();
     }
   }
   return tokens;
@@ -26,7 +31,7 @@
 
 void JobTable::Index(KeptJob& job) {
   for (size_t i = 0; i < job.items.size(); ++i) {
-    job.by_id[job.items[i].item.id()] = i;
+    job.by_id[job.items[i].id()] = i;
   }
 }
 
@@ -52,7 +57,9 @@
   job.job = record;
   for (proto::JobItem& item : *job.job.mutable_items()) {
     KeptItem kept;
-    kept.item.Swap(&item);
+    auto own = std::make_shared<proto::JobItem>();
+    own->Swap(&item);
+    kept.item = std::move(own);
     job.items.push_back(std::move(kept));
   }
   job.job.clear_items();
@@ -79,10 +86,14 @@
   }
   item.listed = true;
   item.dead = done.dead();
-  item.output = done.dead() ? "" : done.output();
+  if (!done.dead()) {
+    item.result = std::make_shared<const std::string>(done.output());
+  }
   // Bodies are asked for only while an item is not listed.
-  item.item.clear_body();
-  item.item.clear_headers();
+  auto rest = std::make_shared<proto::JobItem>();
+  rest->set_id(item.id());
+  rest->set_tokens(item.item->tokens());
+  item.item = std::move(rest);
   job.listed.push_back(static_cast<uint32_t>(position->second));
 }
 
@@ -124,10 +135,24 @@
   }
 }
 
-std::string JobTable::Save() const {
-  proto::StoreSnapshot saved;
+StateParts JobTable::Save() const {
+  struct FrozenJob {
+    proto::JobRecord job;
+    std::vector<KeptItem> items;
+    std::vector<uint32_t> listed;
+    bool ended = false;
+  };
+  auto frozen = std::make_shared<std::vector<FrozenJob>>();
+  frozen->reserve(jobs_.size());
   for (const auto& [id, job] : jobs_) {
-    proto::StoredJob& stored = *saved.add_jobs();
+    frozen->push_back({job.job, job.items, job.listed, job.ended});
+  }
+  return [frozen, next = size_t{0}]() mutable -> std::optional<std::string> {
+    if (next == frozen->size()) {
+      return std::nullopt;
+    }
+    const FrozenJob& job = (*frozen)[next++];
+    proto::StoredJob stored;
     *stored.mutable_job() = job.job;
     stored.set_ended(job.ended);
     for (const uint32_t index : job.listed) {
@@ -135,34 +160,40 @@
     }
     for (const KeptItem& item : job.items) {
       proto::StoredItem& kept = *stored.add_items();
-      *kept.mutable_item() = item.item;
+      *kept.mutable_item() = *item.item;
       kept.set_listed(item.listed);
       kept.set_dead(item.dead);
-      kept.set_output(item.output);
+      kept.set_output(item.output());
       kept.set_failures(item.failures);
     }
-  }
-  return saved.SerializeAsString();
+    return stored.SerializeAsString();
+  };
 }
 
-Status JobTable::Load(const std::string& saved) {
-  proto::StoreSnapshot parsed;
-  if (!parsed.ParseFromString(saved)) {
-    return Fail(ErrorCode::kCorrupt, "the jobs cannot be read");
+Status JobTable::LoadPart(const std::string& part) {
+  proto::StoredJob stored;
+  if (!stored.ParseFromString(part)) {
+    return Fail(ErrorCode::kCorrupt, "a stored job cannot be read");
   }
-  jobs_.clear();
-  for (const proto::StoredJob& stored : parsed.jobs()) {
-    KeptJob& job = jobs_[stored.job().id()];
-    job.job = stored.job();
-    job.ended = stored.ended();
-    job.listed.assign(stored.listed_order().begin(),
-                      stored.listed_order().end());
-    for (const proto::StoredItem& item : stored.items()) {
-      job.items.push_back({item.item(), item.listed(), item.dead(),
-                           item.output(), item.failures()});
+  KeptJob& job = jobs_[stored.job().id()];
+  job.job = stored.job();
+  job.ended = stored.ended();
+  job.listed.assign(stored.listed_order().begin(), stored.listed_order().end());
+  for (proto::StoredItem& item : *stored.mutable_items()) {
+    KeptItem kept;
+    auto own = std::make_shared<proto::JobItem>();
+    own->Swap(item.mutable_item());
+    kept.item = std::move(own);
+    kept.listed = item.listed();
+    kept.dead = item.dead();
+    if (kept.listed && !kept.dead) {
+      kept.result = std::make_shared<const std::string>(
+          std::move(*item.mutable_output()));
     }
-    Index(job);
+    kept.failures = item.failures();
+    job.items.push_back(std::move(kept));
   }
+  Index(job);
   return {};
 }
 
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -16,13 +17,19 @@
 
 namespace sequoialb {
 
+// Content is shared with frozen copies of the state, so it is replaced and
+// never changed.
 struct KeptItem {
-  proto::JobItem item;
+  std::shared_ptr<const proto::JobItem> item;
   bool listed = false;
   // Listed as one that can never be done.
   bool dead = false;
-  std::string output;
+  // Set once the item is complete.
+  std::shared_ptr<const std::string> result;
   uint32_t failures = 0;
+
+  const std::string& id() const { return item->id(); }
+  const std::string& output() const;
 };
 
 struct KeptJob {
@@ -39,8 +46,10 @@
 class JobTable : public GroupState {
  public:
   Status Apply(const std::string& command) override;
-  std::string Save() const override;
-  Status Load(const std::string& saved) override;
+  // A part is a job.
+  StateParts Save() const override;
+  void Clear() override { jobs_.clear(); }
+  Status LoadPart(const std::string& part) override;
 
   const KeptJob* Find(const std::string& id) const;
   const std::map<std::string, KeptJob>& jobs() const { return jobs_; }
--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -9,6 +9,10 @@
 
 constexpr milliseconds kMaintainInterval{200};
 constexpr milliseconds kExpireInterval{500};
+// Hosts that hold the jobs without a vote, so that one votes within a moment of
+// a voter's loss; further ones would only cost memory, disk and bytes between
+// failure domains.
+constexpr size_t kStandBys = 1;
 // A read returns results of about this many bytes at the most.
 constexpr size_t kReadBytes = 900'000;
 // Clocks of day differ between hosts and step by seconds; what goes by them
@@ -38,6 +42,7 @@
   group.host = self.host();
   group.folder = data_folder + "/store";
   group.most_voters = 2 * tolerated_losses + 1;
+  group.stand_bys = kStandBys;
   group.snapshot_log_bytes = 32U << 20U;
   auto opened = ConsensusGroup::Open(
       group, files, service->jobs_, metrics,
@@ -162,14 +167,14 @@
   while (next < job->listed.size() && bytes < kReadBytes) {
     const KeptItem& item = job->items[job->listed[next]];
     // The first result is returned whatever its size.
-    if (bytes > 0 && bytes + item.output.size() > kReadBytes) {
+    if (bytes > 0 && bytes + item.output().size() > kReadBytes) {
       break;
     }
     proto::JobResult& result = *answer.add_results();
-    result.set_id(item.item.id());
+    result.set_id(item.id());
     result.set_dead(item.dead);
-    result.set_output(item.output);
-    bytes += item.output.size() + 1;
+    result.set_output(item.output());
+    bytes += item.output().size() + 1;
     ++next;
   }
   answer.set_next(next);
@@ -187,7 +192,7 @@
     SetError(answer, {ErrorCode::kNotFound, "no such item waits"});
     return;
   }
-  answer.set_body(job->items[position->second].item.body());
+  answer.set_body(job->items[position->second].item->body());
 }
 
 void StoreService::OnReport(const std::string& from,
@@ -299,10 +304,10 @@
       continue;
     }
     for (const KeptItem& item : job.items) {
-      if (!item.listed && recording_.count({id, item.item.id()}) == 0) {
+      if (!item.listed && recording_.count({id, item.id()}) == 0) {
         proto::ItemName name;
         name.set_job(id);
-        name.set_item(item.item.id());
+        name.set_item(item.id());
         Record("", name, true, "", now);
       }
     }
--- a/src/ledger/ledger.cc
+++ b/src/ledger/ledger.cc
@@ -217,6 +217,8 @@
     case proto::SnapshotPart::kOrder:
       orders_.Load(part.order());
       break;
+    // Belongs to the groups of the other deployment (group/consensus_group.h).
+    case proto::SnapshotPart::kGroupState:
     case proto::SnapshotPart::KIND_NOT_SET:
       break;
   }
--- a/test/correctness/fleet_test.cc
+++ b/test/correctness/fleet_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <functional>
 
+#include "../fakes/state_copy.h"
 #include "catalog/catalog.h"
 #include "fleet/backend_registry.h"
 #include "fleet/control_state.h"
@@ -167,7 +168,7 @@
   EXPECT_TRUE(state.Apply(PutCommand(5, "other five")).has_value());
   EXPECT_EQ(state.catalog(), "five");
   ControlState loaded;
-  ASSERT_TRUE(loaded.Load(state.Save()).has_value());
+  fakes::CopyState(state, loaded);
   EXPECT_EQ(loaded.catalog(), "five");
   EXPECT_EQ(loaded.catalog_version(), 5U);
 }
@@ -245,6 +246,45 @@
   EXPECT_FALSE(Votes("c@1"));
 }
 
+// Twelve hosts with a disk: copies on all of them would cost memory on each.
+TEST_F(Planning, KeepsNoMoreCopiesThanVotersAndStandBys) {
+  input_.stand_bys = 1;
+  for (const char* host : {"e", "f", "g", "h"}) {
+    Hear(host, "1", "d1");
+  }
+  Hear("i", "1", "d2");
+  Settle();
+  EXPECT_EQ(input_.membership.voters_size(), 3);
+  ASSERT_EQ(input_.membership.learners_size(), 1);
+}
+
+TEST_F(Planning, AStandByTakesTheVoteOfOneAwayAndIsReplaced) {
+  input_.stand_bys = 1;
+  Hear("e", "1", "d3");
+  Settle();
+  ASSERT_TRUE(Has(input_.membership.learners(), "e@1"));
+  Hear("c", "1", "d3", milliseconds(10'000));
+  Hear("f", "1", "d3");
+  Settle();
+  EXPECT_TRUE(Votes("e@1"));
+  EXPECT_FALSE(Votes("c@1"));
+  EXPECT_TRUE(Has(input_.membership.learners(), "f@1"));
+}
+
+// A retired host's copy moves to one that held none.
+TEST_F(Planning, AnEmptiedHostIsReplacedByOneWithoutACopy) {
+  input_.stand_bys = 1;
+  Hear("e", "1", "d3");
+  Settle();
+  Hear("f", "1", "d2");
+  input_.retiring = {"b"};
+  Settle();
+  EXPECT_FALSE(Votes("b@1"));
+  EXPECT_EQ(input_.membership.voters_size(), 3);
+  EXPECT_TRUE(Votes("e@1"));
+  EXPECT_TRUE(Has(input_.membership.learners(), "f@1"));
+}
+
 TEST_F(Planning, AVoterThatIsAwayIsKeptWithoutAStandIn) {
   Hear("c", "1", "d3", milliseconds(60'000));
   EXPECT_FALSE(PlanMembership(input_).has_value());
--- a/test/correctness/jobs_test.cc
+++ b/test/correctness/jobs_test.cc
@@ -2,6 +2,7 @@
 // are with one front at a time.
 #include <gtest/gtest.h>
 
+#include "../fakes/state_copy.h"
 #include "jobs/item_board.h"
 #include "jobs/job_table.h"
 
@@ -77,14 +78,30 @@
   ASSERT_TRUE(table.Apply(Done("j", "j-0", "late")).has_value());
   const KeptJob& job = *table.Find("j");
   ASSERT_EQ(job.listed, (std::vector<uint32_t>{2, 0}));
-  EXPECT_EQ(job.items[2].output, "two");
+  EXPECT_EQ(job.items[2].output(), "two");
   EXPECT_TRUE(job.items[0].dead);
-  EXPECT_EQ(job.items[1].item.body(), "body 1");
+  EXPECT_EQ(job.items[1].item->body(), "body 1");
   JobTable loaded;
-  ASSERT_TRUE(loaded.Load(table.Save()).has_value());
+  fakes::CopyState(table, loaded);
   EXPECT_EQ(loaded.Find("j")->listed, job.listed);
-  EXPECT_EQ(loaded.Find("j")->items[2].output, "two");
-  EXPECT_EQ(loaded.Save(), table.Save());
+  EXPECT_EQ(loaded.Find("j")->items[2].output(), "two");
+  EXPECT_EQ(fakes::SavedParts(loaded), fakes::SavedParts(table));
+}
+
+// A snapshot is written by another thread while commands go on.
+TEST(JobTable, AFrozenStateKeepsWhatChangesAfterIt) {
+  JobTable table;
+  ASSERT_TRUE(table.Apply(Submit(Job("j", 2))).has_value());
+  const StateParts frozen = table.Save();
+  ASSERT_TRUE(table.Apply(Done("j", "j-1", "later")).has_value());
+  ASSERT_TRUE(table.Apply(Submit(Job("k", 1))).has_value());
+  JobTable loaded;
+  while (auto part = frozen()) {
+    ASSERT_TRUE(loaded.LoadPart(*part).has_value());
+  }
+  EXPECT_EQ(loaded.jobs().size(), 1U);
+  EXPECT_FALSE(loaded.Find("j")->items[1].listed);
+  EXPECT_EQ(loaded.Find("j")->items[1].item->body(), "body 1");
 }
 
 class ItemBoardTest : public ::testing::Test {
--- a/test/property/group_property.cc
+++ b/test/property/group_property.cc
@@ -27,21 +27,17 @@
     commands.push_back(command);
     return {};
   }
-  std::string Save() const override {
-    std::string out;
-    for (const std::string& command : commands) {
-      out += command + "\n";
-    }
-    return out;
+  // A part is a command.
+  StateParts Save() const override {
+    return [frozen = commands,
+            next = size_t{0}]() mutable -> std::optional<std::string> {
+      return next == frozen.size() ? std::nullopt
+                                   : std::make_optional(frozen[next++]);
+    };
   }
-  Status Load(const std::string& saved) override {
-    commands.clear();
-    size_t at = 0;
-    while (at < saved.size()) {
-      const size_t end = saved.find('\n', at);
-      commands.push_back(saved.substr(at, end - at));
-      at = end + 1;
-    }
+  void Clear() override { commands.clear(); }
+  Status LoadPart(const std::string& part) override {
+    commands.push_back(part);
     return {};
   }
 
@@ -88,6 +84,9 @@
     options.host = member.host;
     options.folder = "data";
     options.snapshot_log_bytes = 400;
+    options.log_memory_bytes = 300;
+    options.write_aside = false;
+    options.stand_bys = 1;
     options.name_disk = [this](const std::string& host) {
       return host + "@" + std::to_string(++disks_);
     };
