--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -61,7 +61,8 @@
   proto::HostInfo info;
   info.set_host(settings_.host);
   info.set_failure_domain(settings_.failure_domain);
-  info.set_peer_address(settings_.peer.ToString());
+  info.set_peer_address(
+      settings_.advertised_peer.value_or(settings_.peer).ToString());
   info.set_control(settings_.control.has_value());
   info.set_control_address(settings_.control ? settings_.control->ToString()
                                              : "");
@@ -73,7 +74,7 @@
 }
 
 Status FleetHost::Open() {
-  auto links = HostLinks::Open(Describe(), metrics_);
+  auto links = HostLinks::Open(Describe(), settings_.peer, metrics_);
   if (!links) {
     return tl::unexpected<Error>(links.error());
   }
--- a/src/fleet/fleet_settings.cc
+++ b/src/fleet/fleet_settings.cc
@@ -48,6 +48,7 @@
   } else {
     reader.Refuse("peer", "expected IP:PORT");
   }
+  settings.advertised_peer = ReadAddress(reader, "advertised_peer");
   settings.front = ReadAddress(reader, "front");
   settings.ready = ReadAddress(reader, "ready");
   settings.control = ReadAddress(reader, "control");
--- a/src/fleet/fleet_settings.h
+++ b/src/fleet/fleet_settings.h
@@ -21,6 +21,8 @@
   std::string failure_domain;
   // Links between hosts.
   Address peer;
+  // Where other hosts reach `peer`, if that is behind a forwarder.
+  std::optional<Address> advertised_peer;
   // Callers, and the balancer's question whether the host takes them; a host
   // with these is a front.
   std::optional<Address> front;
--- a/src/fleet/host_links.cc
+++ b/src/fleet/host_links.cc
@@ -7,6 +7,7 @@
 namespace sequoialb {
 
 Result<std::unique_ptr<HostLinks>> HostLinks::Open(const proto::HostInfo& self,
+                                                   const Address& listen,
                                                    Metrics& metrics) {
   const auto address = ParseAddress(self.peer_address());
   if (!address) {
@@ -15,6 +16,7 @@
   std::unique_ptr<HostLinks> links(new HostLinks());
   links->settings_.host = self.host();
   links->settings_.open_membership = true;
+  links->settings_.peer_listen = listen;
   links->Learn(self.host(), *address);
   auto transport =
       PeerTransport::Open(links->settings_, self.incarnation(), metrics);
--- a/src/fleet/host_links.h
+++ b/src/fleet/host_links.h
@@ -18,8 +18,10 @@
   using Handler = std::function<void(const std::string& from,
                                      const proto::FleetMessage& message)>;
 
-  // Binds the host's own address; fails with kIo when that is taken.
+  // Listens at `listen`, which others know as the address in `self`; fails with
+  // kIo when that is taken.
   static Result<std::unique_ptr<HostLinks>> Open(const proto::HostInfo& self,
+                                                 const Address& listen,
                                                  Metrics& metrics);
 
   // Makes a host reachable by its name, or by its address before that is known.
--- a/src/peer/peer_transport.cc
+++ b/src/peer/peer_transport.cc
@@ -86,7 +86,9 @@
 }
 
 Status PeerTransport::Bind() {
-  const std::string address = "tcp://" + settings_.self().peer.ToString();
+  const std::string address =
+      "tcp://" +
+      settings_.peer_listen.value_or(settings_.self().peer).ToString();
   try {
     router_.set(zmq::sockopt::linger, 0);
     router_.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,8 @@
   std::vector<HostEntry> hosts;
   // Hosts are learned while running, and messages of any host are taken.
   bool open_membership = false;
+  // Where links are listened for, if not at this host's own entry.
+  std::optional<Address> peer_listen;
   // SHA-256 of the token that operators show.
   std::string operator_token_sha256;
   // SHA-256 of the token that backend servers show when they announce
--- a/test/fakes/platform_engine.h
+++ b/test/fakes/platform_engine.h
@@ -41,10 +41,13 @@
     return "127.0.0.1:" + std::to_string(server_->port());
   }
 
-  // The announcement that it would send.
+  // The announcement that it would send; `reached_at` is where a proxy before
+  // it listens.
   std::string Beat(const std::string& zone, int sequence,
-                   const std::string& state = "ready") const {
-    return R"({"Service":"s","Addr":")" + address() + R"(","Zone":")" + zone +
+                   const std::string& state = "ready",
+                   const std::string& reached_at = "") const {
+    const std::string& where = reached_at.empty() ? address() : reached_at;
+    return R"({"Service":"s","Addr":")" + where + R"(","Zone":")" + zone +
            R"(","Version":"v1","Slots":4,"State":")" + state +
            R"(","ColdLeftMs":0,"Seq":)" + std::to_string(sequence) +
            R"(,"born":1000})";
--- a/test/scenarios/fleet.cc
+++ b/test/scenarios/fleet.cc
@@ -18,7 +18,22 @@
 namespace sequoialb::scenario {
 namespace {
 
-// Asks the kernel for a free port on an address.
+// Makes a self-signed certificate with the openssl program.
+void MakeCertificate(const std::string& certificate,
+                     const std::string& private_key) {
+  const std::string command =
+      "openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj /CN=test"
+      " -keyout " +
+      private_key + " -out " + certificate + " >/dev/null 2>&1";
+  if (std::system(command.c_str()) != 0) {
+    throw std::runtime_error("openssl could not make a certificate");
+  }
+}
+
+std::string Quoted(const std::string& text) { return '"' + text + '"'; }
+
+}  // namespace
+
 int FreePort(const std::string& ip) {
   const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
@@ -36,22 +51,6 @@
   return ntohs(address.sin_port);
 }
 
-// Makes a self-signed certificate with the openssl program.
-void MakeCertificate(const std::string& certificate,
-                     const std::string& private_key) {
-  const std::string command =
-      "openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj /CN=test"
-      " -keyout " +
-      private_key + " -out " + certificate + " >/dev/null 2>&1";
-  if (std::system(command.c_str()) != 0) {
-    throw std::runtime_error("openssl could not make a certificate");
-  }
-}
-
-std::string Quoted(const std::string& text) { return '"' + text + '"'; }
-
-}  // namespace
-
 Fleet::Fleet(std::string programs, std::string folder)
     : programs_(std::move(programs)), folder_(std::move(folder)) {
   // Nobody else uses these addresses, so a port picked here stays free.
@@ -204,6 +203,14 @@
   process.pid = 0;
 }
 
+void Fleet::AddProcess(const std::string& name,
+                       std::vector<std::string> command) {
+  Process& process = processes_[name];
+  process.name = name;
+  process.command = std::move(command);
+  process.log = folder_ + "/" + name + ".log";
+}
+
 void Fleet::AddTool(const std::string& name, const std::string& program,
                     const std::vector<std::string>& options) {
   Process& tool = processes_[name];
--- a/test/scenarios/fleet.h
+++ b/test/scenarios/fleet.h
@@ -10,6 +10,9 @@
 
 namespace sequoialb::scenario {
 
+// Asks the kernel for a free port on an address.
+int FreePort(const std::string& ip);
+
 struct Process {
   std::string name;
   std::vector<std::string> command;
@@ -36,6 +39,9 @@
   void AddService(const std::string& name, const std::string& domain,
                   const std::string& service);
 
+  // Adds a process with its whole command; `name`.data is its data folder.
+  void AddProcess(const std::string& name, std::vector<std::string> command);
+
   // Adds a program that runs to its end.
   void AddTool(const std::string& name, const std::string& program,
                const std::vector<std::string>& options);
@@ -56,10 +62,12 @@
   std::vector<std::string> Hosts(bool running_only = true) const;
   std::vector<std::string> BackendServers() const;
   const std::string& folder() const { return folder_; }
+  const std::string& programs() const { return programs_; }
+  // The first three numbers of this fleet's loopback addresses, with a dot.
+  const std::string& network() const { return network_; }
   const std::string& token() const { return token_; }
 
  private:
-  std::string NewAddress(bool same_ip, int number);
   std::string DomainHosts(const std::string& domain) const;
 
   std::string programs_;
