Count the leader among its group's candidates

Cause: a store leader did not find itself in the directory, so the planner saw one member fewer, kept seven copies instead of six, and did not count the leader's failure domain when it chose voters.

--- a/src/fleet/control_service.cc
+++ b/src/fleet/control_service.cc
@@ -202,7 +202,7 @@
 }
 
 std::map<std::string, GroupCandidate> ControlService::Candidates(
-    bool control) const {
+    bool control, TimePoint now) const {
   std::map<std::string, GroupCandidate> candidates;
   for (const auto& [host, heard] : heard_) {
     const bool fits = control ? heard.info.control() : heard.info.store();
@@ -211,11 +211,15 @@
                           heard.heard_at};
     }
   }
+  if (control) {
+    candidates[options_.self.host()] = {node(), options_.self.failure_domain(),
+                                        now};
+  }
   return candidates;
 }
 
 void ControlService::MaybeFoundStores(TimePoint now) {
-  const auto stores = Candidates(false);
+  const auto stores = Candidates(false, now);
   if (stores.size() != stores_seen_) {
     stores_seen_ = stores.size();
     stores_changed_at_ = now;
@@ -258,7 +262,7 @@
   OwnRates(now);
   if (group_->leads() && now >= maintain_at_) {
     maintain_at_ = now + kMaintainInterval;
-    group_->MaintainMembership(Candidates(true), {}, now);
+    group_->MaintainMembership(Candidates(true, now), {}, now);
     MaybeFoundStores(now);
   }
 }
--- a/src/fleet/control_service.h
+++ b/src/fleet/control_service.h
@@ -89,7 +89,8 @@
   uint64_t DirectoryHash() const;
   void MaybeFound(TimePoint now);
   void MaybeFoundStores(TimePoint now);
-  std::map<std::string, GroupCandidate> Candidates(bool control) const;
+  std::map<std::string, GroupCandidate> Candidates(bool control,
+                                                   TimePoint now) const;
   void Lead(const proto::ControlCall& call, TimePoint now, const Reply& reply);
   void Retire(const std::string& host, TimePoint now, const Reply& reply);
   bool Retired(const std::string& host, TimePoint now) const;
--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -26,8 +26,10 @@
 
 }  // namespace
 
-StoreService::StoreService(HostLinks& links, Metrics& metrics)
-    : links_(links),
+StoreService::StoreService(const proto::HostInfo& self, HostLinks& links,
+                           Metrics& metrics)
+    : self_(self),
+      links_(links),
       accepted_(metrics.counter("sequoialb_jobs_accepted_total")),
       refused_(metrics.counter("sequoialb_jobs_refused_total")),
       recorded_(metrics.counter("sequoialb_items_recorded_total")) {}
@@ -36,7 +38,7 @@
     const proto::HostInfo& self, const std::string& data_folder,
     size_t tolerated_losses, FileSystem& files, HostLinks& links,
     Metrics& metrics, TimePoint now) {
-  std::unique_ptr<StoreService> service(new StoreService(links, metrics));
+  std::unique_ptr<StoreService> service(new StoreService(self, links, metrics));
   GroupOptions group;
   group.name = "store";
   group.host = self.host();
@@ -81,6 +83,8 @@
     candidate.node = info.node();
     candidate.failure_domain = info.failure_domain();
   }
+  // Other hosts only hear of themselves from the directory.
+  candidates_[self_.host()] = {node(), self_.failure_domain(), now};
 }
 
 void StoreService::OnGroup(const proto::RaftMessage& message, TimePoint now) {
--- a/src/jobs/store_service.h
+++ b/src/jobs/store_service.h
@@ -44,7 +44,7 @@
  private:
   using ItemKey = std::pair<std::string, std::string>;
 
-  StoreService(HostLinks& links, Metrics& metrics);
+  StoreService(const proto::HostInfo& self, HostLinks& links, Metrics& metrics);
   void Answer(const std::string& to, proto::JobAnswer answer);
   void Read(const proto::JobCall& call, proto::JobAnswer& answer) const;
   void Body(const proto::JobCall& call, proto::JobAnswer& answer) const;
@@ -55,6 +55,7 @@
   void Taken(const std::string& to, const proto::ItemName& name);
   void ExpireJobs(TimePoint now);
 
+  const proto::HostInfo self_;
   HostLinks& links_;
   JobTable jobs_;
   ItemBoard board_{jobs_};
