Draw among servers away from home by their room

Change: a draw weighted by the square of the room; the emptiest server stays as baseline and for home servers, whose load a front knows.

--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -21,11 +21,6 @@
 constexpr uint32_t kAvoidDoublings = 4;
 // A server that said it was full is left alone this long.
 constexpr milliseconds kFullPause{60};
-// Order of choice: home servers, those of the own domain, all others. Within a
-// step, the emptiest. Cold servers come last in their step.
-constexpr double kAwayStep = 10;
-constexpr double kOtherDomainStep = 20;
-constexpr double kColdCost = 5;
 // Slots that a server away from home must have free, so that requests that
 // other fronts have just sent there find room.
 constexpr double kAwaySpare = 1;
@@ -74,11 +69,22 @@
   return static_cast<double>(load.online + load.items) + Others(load, now);
 }
 
+BackendPool::Step BackendPool::StepOf(const Load& load) {
+  const bool cold = load.backend.cold;
+  if (load.backend.home) {
+    return cold ? Step::kHomeCold : Step::kHome;
+  }
+  if (load.backend.own_domain) {
+    return cold ? Step::kOwnDomainCold : Step::kOwnDomain;
+  }
+  return cold ? Step::kOtherCold : Step::kOther;
+}
+
 std::optional<Choice> BackendPool::ChooseOnline(
     const std::string& service, const std::set<std::string>& avoid,
-    TimePoint now, bool pressed) const {
-  const Load* best = nullptr;
-  double best_cost = 0;
+    TimePoint now, bool pressed) {
+  std::vector<const Load*> best;
+  std::vector<double> room;
   const Load* stoppable = nullptr;
   for (const auto& [id, load] : loads_) {
     if (!load.usable || load.backend.service != service ||
@@ -87,17 +93,11 @@
     }
     const auto slots = static_cast<double>(load.backend.slots);
     const double busy = Busy(load, now);
-    double spare = 0;
-    double cost = busy / slots;
-    if (!load.backend.own_domain) {
-      spare = pressed ? 0 : kOtherDomainSpare;
-      cost += kOtherDomainStep;
-    } else if (!load.backend.home) {
-      spare = pressed ? 0 : kAwaySpare;
-      cost += kAwayStep;
-    }
-    cost += load.backend.cold ? kColdCost : 0;
-    if (busy + 1 + spare > slots) {
+    const double away =
+        load.backend.own_domain ? kAwaySpare : kOtherDomainSpare;
+    const double spare = load.backend.home || pressed ? 0 : away;
+    const double free = slots - busy - spare;
+    if (free < 1) {
       const bool fits =
           load.items > 0 && busy - static_cast<double>(load.items) + 1 <= slots;
       if (fits && (stoppable == nullptr || load.items > stoppable->items)) {
@@ -105,20 +105,29 @@
       }
       continue;
     }
-    if (best == nullptr || cost < best_cost) {
-      best = &load;
-      best_cost = cost;
+    if (!best.empty() && StepOf(load) > StepOf(*best.front())) {
+      continue;
+    }
+    if (!best.empty() && StepOf(load) < StepOf(*best.front())) {
+      best.clear();
+      room.clear();
     }
+    best.push_back(&load);
+    room.push_back(free);
   }
   // An item at home gives way before a request crosses to another domain.
-  const bool far = best != nullptr && !best->backend.own_domain;
-  if (stoppable != nullptr && (best == nullptr || far)) {
+  const bool far = !best.empty() && !best.front()->backend.own_domain;
+  if (stoppable != nullptr && (best.empty() || far)) {
     return Choice{stoppable->backend.id, stoppable->backend.address, true};
   }
-  if (best == nullptr) {
+  if (best.empty()) {
     return std::nullopt;
   }
-  return Choice{best->backend.id, best->backend.address, false};
+  // Of its home servers a front knows the load.
+  const bool home = best.front()->backend.home;
+  const Load& chosen = *best[SpreadTo(
+      home ? SpreadPolicy(EmptiestServer{}) : spread_, room, random_)];
+  return Choice{chosen.backend.id, chosen.backend.address, false};
 }
 
 void BackendPool::PeerReported(const std::string& front,
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -9,20 +9,23 @@
 // at hand. Each server has one front as its home, which alone runs batch items
 // there, so that a burst of online requests finds those items where it can stop
 // them at once. A server is as quick full as empty, so home servers fill up
-// first, then the own failure domain's, then others with room to spare. A
-// server that cannot be reached or breaks answers is left alone for a while
+// first, then the own failure domain's, then others with room to spare; among
+// those away from home the request is spread (spread_policy.h). A server that
+// cannot be reached or breaks answers is left alone for a while
 // that doubles. A pure state machine.
 #pragma once
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "base/time.h"
 #include "gateway/protocol.h"
+#include "gateway/spread_policy.h"
 #include "settings/settings.h"
 
 namespace sequoialb {
@@ -48,6 +51,9 @@
 
 class BackendPool {
  public:
+  explicit BackendPool(uint64_t seed = 1, SpreadPolicy spread = DrawByRoom{})
+      : random_(seed), spread_(spread) {}
+
   void SetUsable(const std::vector<UsableBackend>& usable);
 
   // Returns the server for an online request, or nothing while all are full.
@@ -55,7 +61,7 @@
   // from home, which else is left to what others have just sent.
   std::optional<Choice> ChooseOnline(const std::string& service,
                                      const std::set<std::string>& avoid,
-                                     TimePoint now, bool pressed = false) const;
+                                     TimePoint now, bool pressed = false);
   // Returns the server for a batch item, or nothing without room at home.
   std::optional<Choice> ChooseItem(const std::string& service,
                                    TimePoint now) const;
@@ -106,6 +112,18 @@
     uint32_t failures = 0;
   };
 
+  // Home servers, then those of the own failure domain, then all others; cold
+  // ones come last in their step.
+  enum class Step : uint8_t {
+    kHome,
+    kHomeCold,
+    kOwnDomain,
+    kOwnDomainCold,
+    kOther,
+    kOtherCold
+  };
+  static Step StepOf(const Load& load);
+
   struct Peer {
     TimePoint reported_at;
     std::map<std::string, uint32_t> requests;
@@ -119,6 +137,8 @@
   double Others(const Load& load, TimePoint now) const;
   double Busy(const Load& load, TimePoint now) const;
 
+  std::mt19937_64 random_;
+  SpreadPolicy spread_;
   std::map<std::string, Load> loads_;
   std::map<std::string, Peer> front_loads_;
   size_t peers_ = 0;
--- a/src/gateway/front_view.h
+++ b/src/gateway/front_view.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "base/hash.h"
 #include "catalog/catalog.h"
 #include "fleet/boot_clock.h"
 #include "gateway/backend_pool.h"
@@ -41,7 +42,8 @@
       : loop(event_loop),
         metrics(all_metrics),
         protocol(spoken),
-        client(event_loop, all_metrics) {}
+        client(event_loop, all_metrics),
+        pool(Hash64(RandomHex(8))) {}
 };
 
 }  // namespace sequoialb
--- /dev/null
+++ b/test/correctness/spread_test.cc
@@ -0,0 +1,158 @@
+// Many fronts place a burst on shared servers, each with words of the others
+// that are some tens of milliseconds old; replayed on virtual time.
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <iostream>
+
+#include "gateway/backend_pool.h"
+
+namespace sequoialb {
+namespace {
+
+constexpr int kFronts = 8;
+constexpr int kServers = 24;
+constexpr uint32_t kSlots = 8;
+// As fronts tell each other.
+constexpr int kWordMs = 30;
+// Until a word is taken in, on a busy host.
+constexpr int kWordAgeMs = 30;
+constexpr int kHoldMs = 750;
+
+// What came of a replay.
+struct Outcome {
+  int sent = 0;
+  // Sent to a server whose slots were all taken.
+  int queued = 0;
+  int waited = 0;
+};
+
+class Replay {
+ public:
+  explicit Replay(SpreadPolicy policy) {
+    for (int front = 0; front < kFronts; ++front) {
+      pools_.emplace_back(static_cast<uint64_t>(front) + 1, policy);
+      std::vector<UsableBackend> usable;
+      for (int server = 0; server < kServers; ++server) {
+        usable.push_back({Name(server),
+                          "s",
+                          {"127.0.0.1", 1},
+                          true,
+                          server % kFronts == front,
+                          kSlots,
+                          false});
+      }
+      pools_.back().SetUsable(usable);
+      pools_.back().SetPeers(kFronts - 1);
+    }
+  }
+
+  // Half of the fronts get `rate` requests a second each for two seconds.
+  Outcome Run(int rate) {
+    const int every_ms = 1'000 / rate;
+    for (int ms = 0; ms < 2'000; ++ms) {
+      now_ = TimePoint(seconds(1'000)) + milliseconds(ms);
+      EndDue(ms);
+      for (int front = 0; front < kFronts; ++front) {
+        if ((ms + front * 4) % kWordMs == 0) {
+          words_.push_back({front,
+                            pools_[static_cast<size_t>(front)].OwnRequests(),
+                            ms + kWordAgeMs});
+        }
+      }
+      while (!words_.empty() && words_.front().arrives_ms <= ms) {
+        Tell(words_.front());
+        words_.pop_front();
+      }
+      for (int front = 0; front < kFronts / 2; ++front) {
+        if (ms % every_ms == front * 2 % every_ms) {
+          Place(front, ms);
+        }
+      }
+    }
+    return outcome_;
+  }
+
+ private:
+  struct Sent {
+    int front;
+    std::string server;
+    int ends_ms;
+  };
+
+  struct Word {
+    int front;
+    std::map<std::string, uint32_t> requests;
+    int arrives_ms;
+  };
+
+  static std::string Name(int server) { return "e" + std::to_string(server); }
+
+  void EndDue(int ms) {
+    while (!under_way_.empty() && under_way_.front().ends_ms <= ms) {
+      const Sent sent = under_way_.front();
+      under_way_.pop_front();
+      pools_[static_cast<size_t>(sent.front)].Ended(sent.server, false);
+      --busy_[sent.server];
+    }
+  }
+
+  void Tell(const Word& word) {
+    for (int other = 0; other < kFronts; ++other) {
+      if (other != word.front) {
+        pools_[static_cast<size_t>(other)].PeerReported(
+            "f" + std::to_string(word.front), word.requests, 0, now_);
+      }
+    }
+  }
+
+  void Place(int front, int ms) {
+    BackendPool& pool = pools_[static_cast<size_t>(front)];
+    const auto choice = pool.ChooseOnline("s", {}, now_);
+    if (!choice) {
+      ++outcome_.waited;
+      return;
+    }
+    ++outcome_.sent;
+    outcome_.queued += busy_[choice->backend] >= kSlots ? 1 : 0;
+    pool.Sent(choice->backend, false);
+    ++busy_[choice->backend];
+    under_way_.push_back({front, choice->backend, ms + kHoldMs});
+  }
+
+  TimePoint now_;
+  std::deque<BackendPool> pools_;
+  std::map<std::string, uint32_t> busy_;
+  std::deque<Sent> under_way_;
+  std::deque<Word> words_;
+  Outcome outcome_;
+};
+
+// Four of eight fronts overflow their home servers until no slot is left.
+TEST(Spread, ABurstAtHalfOfTheFrontsHerdsLessWhenDrawn) {
+  int drawn = 0;
+  int emptiest = 0;
+  for (int rate = 60; rate <= 76; ++rate) {
+    drawn += Replay(DrawByRoom{}).Run(rate).queued;
+    emptiest += Replay(EmptiestServer{}).Run(rate).queued;
+  }
+  std::cout << "queued at full servers: drawn " << drawn << ", emptiest "
+            << emptiest << std::endl;
+  EXPECT_GT(emptiest, 0);
+  EXPECT_LT(drawn * 10, emptiest * 7);
+}
+
+// A server that is nearly full gets few; an empty one most.
+TEST(Spread, DrawsByRoom) {
+  std::mt19937_64 random(7);
+  std::vector<int> drawn(3, 0);
+  for (int i = 0; i < 1'000; ++i) {
+    ++drawn[SpreadTo(DrawByRoom{}, {1, 2, 8}, random)];
+  }
+  EXPECT_GT(drawn[2], 850);
+  EXPECT_GT(drawn[1], drawn[0]);
+  EXPECT_EQ(SpreadTo(EmptiestServer{}, {1, 8, 2}, random), 1U);
+}
+
+}  // namespace
+}  // namespace sequoialb
