--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -16,6 +16,9 @@
 // least this often.
 constexpr milliseconds kLoadInterval{30};
 constexpr milliseconds kLoadAtLeast{200};
+// Fronts of other failure domains, which send here only when their own servers
+// are full, hear every so many words: most of the bytes cross domains.
+constexpr uint64_t kFarWordInterval = 3;
 // Authority ends this much before a withdrawn key must have stopped working,
 // for clocks that do not run alike.
 constexpr milliseconds kWithdrawalMargin{250};
@@ -525,7 +528,8 @@
   told_load_ = own;
   told_waiting_ = waiting;
   told_at_ = now;
-  PostControl([this, waiting, own = std::move(own)] {
+  const bool far = words_told_++ % kFarWordInterval == 0;
+  PostControl([this, waiting, far, own = std::move(own)] {
     proto::FleetMessage message;
     proto::FrontLoad& load = *message.mutable_front_load();
     load.set_waiting(waiting);
@@ -535,7 +539,8 @@
       entry.set_requests(requests);
     }
     for (const auto& front : member_->last_confirmed().live_fronts()) {
-      if (front.host() != settings_.host) {
+      const bool near = front.failure_domain() == settings_.failure_domain;
+      if (front.host() != settings_.host && (near || far)) {
         links_->Send(front.host(), message);
       }
     }
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -100,6 +100,7 @@
   std::map<std::string, uint32_t> told_load_;
   uint32_t told_waiting_ = 0;
   TimePoint told_at_;
+  uint64_t words_told_ = 0;
   TimePoint summary_due_;
 
   // Tasks for the control thread.
