Keep new requests from a server whose streams have all fallen silent

Change: a server that streams to this front and has sent nothing for 150 ms gets no new work until it is heard; a request that waits there moves after 100 ms. Test: LeavesAServerAloneWhoseStreamsFellSilent.

--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "gateway/stall_policy.h"
+
 namespace sequoialb {
 namespace {
 
@@ -69,6 +71,13 @@
   return static_cast<double>(load.online + load.items) + Others(load, now);
 }
 
+bool BackendPool::Open(const Load& load, const std::string& service,
+                       TimePoint now) {
+  return load.usable && load.backend.service == service &&
+         now >= load.avoid_until &&
+         !IsQuiet(load.streaming, load.heard_at, now);
+}
+
 BackendPool::Step BackendPool::StepOf(const Load& load) {
   const bool cold = load.backend.cold;
   if (load.backend.home) {
@@ -87,8 +96,7 @@
   std::vector<double> room;
   const Load* stoppable = nullptr;
   for (const auto& [id, load] : loads_) {
-    if (!load.usable || load.backend.service != service ||
-        avoid.count(id) > 0 || now < load.avoid_until) {
+    if (!Open(load, service, now) || avoid.count(id) > 0) {
       continue;
     }
     const auto slots = static_cast<double>(load.backend.slots);
@@ -149,7 +157,7 @@
 double BackendPool::HomeFree(TimePoint now) const {
   double free = 0;
   for (const auto& [id, load] : loads_) {
-    if (load.usable && load.backend.home && now >= load.avoid_until) {
+    if (load.backend.home && Open(load, load.backend.service, now)) {
       free += std::max(
           0.0, static_cast<double>(load.backend.slots) - Busy(load, now));
     }
@@ -203,8 +211,7 @@
   const Load* best = nullptr;
   double best_free = 0;
   for (const auto& [id, load] : loads_) {
-    if (!load.usable || !load.backend.home || load.backend.service != service ||
-        now < load.avoid_until) {
+    if (!Open(load, service, now) || !load.backend.home) {
       continue;
     }
     const double free =
@@ -274,10 +281,23 @@
   ++(item ? load.items : load.online);
 }
 
-void BackendPool::Ended(const std::string& backend, bool item) {
+void BackendPool::Ended(const std::string& backend, bool item, bool heard) {
   Load& load = loads_[backend];
   uint32_t& count = item ? load.items : load.online;
   count -= count > 0 ? 1 : 0;
+  load.streaming -= heard && load.streaming > 0 ? 1 : 0;
+}
+
+void BackendPool::Heard(const std::string& backend, bool first, TimePoint now) {
+  Load& load = loads_[backend];
+  load.streaming += first ? 1 : 0;
+  load.heard_at = now;
+}
+
+bool BackendPool::Quiet(const std::string& backend, TimePoint now) const {
+  const auto found = loads_.find(backend);
+  return found != loads_.end() &&
+         IsQuiet(found->second.streaming, found->second.heard_at, now);
 }
 
 void BackendPool::Reported(const std::string& backend,
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -12,7 +12,8 @@
 // first, then the own failure domain's, then others with room to spare; among
 // those away from home the request is spread (spread_policy.h). A server that
 // cannot be reached or breaks answers is left alone for a while
-// that doubles. A pure state machine.
+// that doubles, and one whose streams all fell silent until it is heard again.
+// A pure state machine.
 #pragma once
 
 #include <cstdint>
@@ -70,7 +71,12 @@
 
   // Accounts for own requests.
   void Sent(const std::string& backend, bool item);
-  void Ended(const std::string& backend, bool item);
+  // `heard` says whether bytes had come for it.
+  void Ended(const std::string& backend, bool item, bool heard);
+  // Bytes came for a request under way, the first ones or more.
+  void Heard(const std::string& backend, bool first, TimePoint now);
+  // None of the answers that have begun there has gone on for a while.
+  bool Quiet(const std::string& backend, TimePoint now) const;
 
   void Reported(const std::string& backend, const BackendLoad& load,
                 TimePoint now);
@@ -105,6 +111,9 @@
     bool usable = false;
     uint32_t online = 0;
     uint32_t items = 0;
+    // Own requests and items that have had bytes.
+    uint32_t streaming = 0;
+    TimePoint heard_at;
     // Requests of others, as of the last report.
     double others = 0;
     TimePoint reported_at;
@@ -134,6 +143,8 @@
   double ItemReserve(TimePoint now) const;
   // Free slots of the home servers together.
   double HomeFree(TimePoint now) const;
+  // It may get new work of a service.
+  static bool Open(const Load& load, const std::string& service, TimePoint now);
   double Others(const Load& load, TimePoint now) const;
   double Busy(const Load& load, TimePoint now) const;
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -287,7 +287,7 @@
 void Gateway::Release(Request& request) {
   request.call.reset();
   if (!request.backend.empty()) {
-    front_.pool.Ended(request.backend, false);
+    front_.pool.Ended(request.backend, false, request.heard_at != TimePoint());
     request.backend.clear();
   }
 }
@@ -365,12 +365,18 @@
                   RunState::kRan});
     return;
   }
-  request.heard_at = now;
+  NoteHeard(request);
   if (!request.head_passed) {
     PassHead(request, head);
   }
 }
 
+void Gateway::NoteHeard(Request& request) {
+  const TimePoint now = front_.loop.now();
+  front_.pool.Heard(request.backend, request.heard_at == TimePoint(), now);
+  request.heard_at = now;
+}
+
 void Gateway::PassHead(Request& request, const ResponseHead& head) {
   request.head_passed = true;
   const std::string* type = head.headers.Find("Content-Type");
@@ -406,7 +412,7 @@
 }
 
 void Gateway::OnData(Request& request, std::string_view data) {
-  request.heard_at = front_.loop.now();
+  NoteHeard(request);
   if (!request.events) {
     request.exchange->Send(data);
   } else {
@@ -478,7 +484,11 @@
     return request.events &&
            now >= StreamStallsAt(*request.route, request.heard_at);
   }
-  if (now < FirstEventStallsAt(*request.route, request.sent_at)) {
+  const TimePoint stalls_at =
+      front_.pool.Quiet(request.backend, now)
+          ? request.sent_at + kLeastPatience
+          : FirstEventStallsAt(*request.route, request.sent_at);
+  if (now < stalls_at) {
     return false;
   }
   std::set<std::string> avoid = request.avoid;
@@ -498,7 +508,7 @@
   for (Request* request : stalled) {
     const std::string backend = request->backend;
     // One queued request says nothing of its server; a silent stream does.
-    if (request->heard_at != TimePoint()) {
+    if (request->heard_at != TimePoint() || front_.pool.Quiet(backend, now)) {
       front_.pool.Failed(backend, now);
     } else {
       front_.pool.Full(backend, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -62,6 +62,7 @@
   std::string ForwardedBytes(const Request& request, const std::string& backend,
                              int64_t left_ms) const;
   void OnHead(Request& request, const ResponseHead& head);
+  void NoteHeard(Request& request);
   void PassHead(Request& request, const ResponseHead& head);
   void OnData(Request& request, std::string_view data);
   void OnComplete(Request& request);
--- a/src/gateway/stall_policy.h
+++ b/src/gateway/stall_policy.h
@@ -5,7 +5,10 @@
 // milliseconds, so a silence of most of the pause that the route allows is
 // nearly always the end; going on then at another server still keeps the stream
 // in time. Before the first event the request may just be queued, so it moves
-// only when another server has a slot free. Pure functions.
+// only when another server has a slot free. New requests avoid a server from
+// which none of the streams under way has had a byte for a while, long before
+// each stream is given up: an attempt spent on a dead server is one fewer left.
+// Pure functions.
 #pragma once
 
 #include <algorithm>
@@ -22,6 +25,10 @@
 inline constexpr double kFirstEventPart = 0.5;
 // A server is never judged sooner: a round trip, a prompt and a busy host.
 inline constexpr milliseconds kLeastPatience{100};
+// A server that streams to this front and has sent nothing for this long gets
+// no new requests: several times the pause between two events, and half of the
+// shortest objective of the deployments.
+inline constexpr milliseconds kQuietAfter{150};
 // Pause without a target of the route's.
 inline constexpr milliseconds kDefaultGap{1'000};
 
@@ -34,6 +41,12 @@
                                              gap * kStallPart));
 }
 
+// Returns whether a server that has begun to answer `streaming` requests is
+// silent as a whole; bytes last came from it at `heard_at`.
+inline bool IsQuiet(uint32_t streaming, TimePoint heard_at, TimePoint now) {
+  return streaming > 0 && now - heard_at > kQuietAfter;
+}
+
 // Returns when a request sent at `sent_at` without an answer so far is late
 // enough to try another server.
 inline TimePoint FirstEventStallsAt(const Route& route, TimePoint sent_at) {
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -31,6 +31,8 @@
   std::string output;
   std::optional<uint64_t> last_event;
   bool streaming = false;
+  // Bytes have come for it.
+  bool heard = false;
   // Set when the answer's status alone decides the outcome.
   std::optional<proto::ItemOutcome::Kind> verdict;
 };
@@ -164,6 +166,8 @@
 
 void ItemRunner::OnData(Run& run, std::string_view data) {
   run.heard_at = front_.loop.now();
+  front_.pool.Heard(run.backend, !run.heard, run.heard_at);
+  run.heard = true;
   if (!run.streaming) {
     return;
   }
@@ -194,7 +198,7 @@
   (kind == proto::ItemOutcome::kComplete ? completed_ : stopped_).Add();
   run.call.reset();
   if (!run.backend.empty()) {
-    front_.pool.Ended(run.backend, true);
+    front_.pool.Ended(run.backend, true, run.heard);
   }
   const auto found = runs_.find({run.offer.job(), run.offer.item().id()});
   std::shared_ptr<Run> kept(found->second.release());
--- a/test/correctness/gateway_decisions_test.cc
+++ b/test/correctness/gateway_decisions_test.cc
@@ -129,6 +129,30 @@
   EXPECT_EQ(pool.ChooseOnline("s", {}, At(1'200))->backend, "bad");
 }
 
+// Engines go dark with streams under way: new requests leave them alone long
+// before the streams are given up, and return once they are heard again.
+TEST(BackendPool, LeavesAServerAloneWhoseStreamsFellSilent) {
+  BackendPool pool;
+  pool.SetUsable({Server("dark", true, true), Server("well", true, false)});
+  pool.Sent("dark", false);
+  pool.Sent("dark", true);
+  // A request that only queues there says nothing yet.
+  EXPECT_EQ(pool.ChooseOnline("s", {}, At(400))->backend, "dark");
+  pool.Heard("dark", true, At(400));
+  pool.Heard("dark", true, At(420));
+  EXPECT_EQ(pool.ChooseOnline("s", {}, At(500))->backend, "dark");
+  EXPECT_FALSE(pool.Quiet("dark", At(500)));
+  EXPECT_EQ(pool.ChooseOnline("s", {}, At(600))->backend, "well");
+  EXPECT_EQ(pool.ItemRoom(At(600)), 0U);
+  EXPECT_TRUE(pool.Quiet("dark", At(600)));
+  pool.Heard("dark", false, At(610));
+  EXPECT_EQ(pool.ChooseOnline("s", {}, At(620))->backend, "dark");
+  // With its streams ended nothing speaks against it.
+  pool.Ended("dark", false, true);
+  pool.Ended("dark", true, true);
+  EXPECT_EQ(pool.ChooseOnline("s", {}, At(2'000))->backend, "dark");
+}
+
 TEST(BackendPool, AvoidsTriedServersAndOtherServices) {
   BackendPool pool;
   pool.SetUsable({Server("a", true, true)});
--- a/test/correctness/spread_test.cc
+++ b/test/correctness/spread_test.cc
@@ -92,7 +92,7 @@
     while (!under_way_.empty() && under_way_.front().ends_ms <= ms) {
       const Sent sent = under_way_.front();
       under_way_.pop_front();
-      pools_[static_cast<size_t>(sent.front)].Ended(sent.server, false);
+      pools_[static_cast<size_t>(sent.front)].Ended(sent.server, false, false);
       --busy_[sent.server];
     }
   }
