Take a host back that restarts after its clock was set back

Cause, found by reading: a host's processes are told apart by the time of day of their start. A control host ignored greetings of an earlier incarnation, so a host killed while its clock ran ahead, and started once it was set back, stayed unknown for up to 30 s. Change: an earlier incarnation is refused only while the later one is being heard; the directory becomes a part of its own (host_directory). Test: TakesAProcessWhoseClockWasSetBack; it failed against the rule before.

--- a/src/fleet/control_service.cc
+++ b/src/fleet/control_service.cc
@@ -2,15 +2,12 @@
 
 #include <algorithm>
 
-#include "base/hash.h"
 #include "fleet/boot_clock.h"
 #include "observe/log.h"
 
 namespace sequoialb {
 namespace {
 
-// Hosts unheard for this long leave the directory.
-constexpr milliseconds kHostForgottenAfter{30'000};
 // The set of store hosts must have been the same for this long before it
 // founds its group; all hosts start within 0.3 s of each other.
 constexpr milliseconds kStoresSettled{1'500};
@@ -81,26 +78,6 @@
   return service;
 }
 
-void ControlService::NoteHost(const proto::HostHello& hello, TimePoint now) {
-  HeardHost& heard = heard_[hello.info().host()];
-  if (hello.info().incarnation() < heard.info.incarnation()) {
-    return;
-  }
-  heard.info = hello.info();
-  heard.heard_at = now;
-}
-
-uint64_t ControlService::DirectoryHash() const {
-  std::string text;
-  for (const auto& [host, heard] : heard_) {
-    text += host + " " + heard.info.peer_address() + " " + heard.info.node() +
-            " " + std::to_string(heard.info.incarnation()) + " " +
-            heard.info.group().leader_host() +
-            (heard.info.group().member() ? " member\n" : "\n");
-  }
-  return Hash64(text);
-}
-
 void ControlService::OnHello(const std::string& from,
                              const proto::HostHello& hello, TimePoint now) {
   hellos_.Add();
@@ -110,7 +87,10 @@
     return;
   }
   links_.Learn(from, *address);
-  NoteHost(hello, now);
+  if (!directory_.Note(hello.info(), now)) {
+    LogInfo("hello_of_ended_process", {{"from", from}});
+    return;
+  }
   proto::FleetMessage message;
   FillReply(hello, *message.mutable_hello_reply(), now);
   links_.Send(from, message);
@@ -128,9 +108,9 @@
        hello.catalog_version() < state_.catalog_version())) {
     reply.set_catalog(state_.catalog());
   }
-  reply.set_directory_hash(DirectoryHash());
+  reply.set_directory_hash(directory_.Hash());
   if (reply.directory_hash() != hello.directory_hash()) {
-    for (const auto& [host, heard] : heard_) {
+    for (const auto& [host, heard] : directory_.hosts()) {
       *reply.add_hosts() = heard.info;
     }
   }
@@ -150,7 +130,7 @@
   if (!hello.info().front()) {
     return;
   }
-  for (const auto& [host, heard] : heard_) {
+  for (const auto& [host, heard] : directory_.hosts()) {
     if (heard.info.front() && !heard.info.leaving() &&
         now - heard.heard_at < kFrontLive) {
       proto::LiveFront& front = *reply.add_live_fronts();
@@ -173,11 +153,12 @@
 void ControlService::MaybeFound(TimePoint now) {
   std::vector<std::string> founders;
   for (const Address& seed : options_.seeds) {
-    const auto found =
-        std::find_if(heard_.begin(), heard_.end(), [&](const auto& entry) {
+    const auto found = std::find_if(
+        directory_.hosts().begin(), directory_.hosts().end(),
+        [&](const auto& entry) {
           return entry.second.info.peer_address() == seed.ToString();
         });
-    if (found == heard_.end()) {
+    if (found == directory_.hosts().end()) {
       return;
     }
     const proto::HostInfo& info = found->second.info;
@@ -204,7 +185,7 @@
 std::map<std::string, GroupCandidate> ControlService::Candidates(
     bool control, TimePoint now) const {
   std::map<std::string, GroupCandidate> candidates;
-  for (const auto& [host, heard] : heard_) {
+  for (const auto& [host, heard] : directory_.hosts()) {
     const bool fits = control ? heard.info.control() : heard.info.store();
     if (fits && !heard.info.node().empty()) {
       candidates[host] = {heard.info.node(), heard.info.failure_domain(),
@@ -230,7 +211,7 @@
   }
   std::vector<GroupCandidate> fresh;
   for (const auto& [host, candidate] : stores) {
-    if (heard_.at(host).info.first_start()) {
+    if (directory_.hosts().at(host).info.first_start()) {
       fresh.push_back(candidate);
     }
   }
@@ -253,10 +234,7 @@
   if (founder_) {
     MaybeFound(now);
   }
-  for (auto it = heard_.begin(); it != heard_.end();) {
-    const bool old = now - it->second.heard_at > kHostForgottenAfter;
-    it = old ? heard_.erase(it) : std::next(it);
-  }
+  directory_.Expire(now);
   registry_.Expire(now);
   RetryCalls(now);
   OwnRates(now);
@@ -346,7 +324,7 @@
 void ControlService::ForwardBackend(const proto::BackendRecord& record) {
   proto::FleetMessage message;
   *message.mutable_backend() = record;
-  for (const auto& [host, heard] : heard_) {
+  for (const auto& [host, heard] : directory_.hosts()) {
     if (heard.info.control() && host != options_.self.host()) {
       links_.Send(host, message);
     }
@@ -483,12 +461,13 @@
 size_t ControlService::StoresLeftWithout(const std::string& host,
                                          TimePoint now) const {
   return static_cast<size_t>(
-      std::count_if(heard_.begin(), heard_.end(), [&](const auto& entry) {
-        const HeardHost& heard = entry.second;
-        return heard.info.store() && entry.first != host &&
-               now - heard.heard_at < kHeardRecently &&
-               state_.retiring_hosts().count(entry.first) == 0;
-      }));
+      std::count_if(directory_.hosts().begin(), directory_.hosts().end(),
+                    [&](const auto& entry) {
+                      const HeardHost& heard = entry.second;
+                      return heard.info.store() && entry.first != host &&
+                             now - heard.heard_at < kHeardRecently &&
+                             state_.retiring_hosts().count(entry.first) == 0;
+                    }));
 }
 
 void ControlService::Retire(const std::string& host, TimePoint now,
@@ -497,8 +476,8 @@
     reply(proto::ControlAnswer());
     return;
   }
-  const auto found = heard_.find(host);
-  if (found == heard_.end() || !found->second.info.store()) {
+  const auto found = directory_.hosts().find(host);
+  if (found == directory_.hosts().end() || !found->second.info.store()) {
     reply(ErrorAnswer({ErrorCode::kNotFound, "no store host " + host}));
     return;
   }
@@ -520,7 +499,7 @@
 // A host is empty once the store group's leader counts on it no more and has a
 // full set of voters without it.
 bool ControlService::Retired(const std::string& host, TimePoint now) const {
-  for (const auto& [name, heard] : heard_) {
+  for (const auto& [name, heard] : directory_.hosts()) {
     const proto::GroupStatus& group = heard.info.group();
     const bool speaks = heard.info.store() && group.leads() &&
                         now - heard.heard_at < kHeardRecently;
--- a/src/fleet/control_service.h
+++ b/src/fleet/control_service.h
@@ -15,6 +15,7 @@
 #include "catalog/catalog.h"
 #include "fleet/backend_registry.h"
 #include "fleet/control_state.h"
+#include "fleet/host_directory.h"
 #include "fleet/host_links.h"
 #include "group/consensus_group.h"
 #include "rates/rate_owner.h"
@@ -70,10 +71,6 @@
   proto::GroupStatus status() const { return group_->status(); }
 
  private:
-  struct HeardHost {
-    proto::HostInfo info;
-    TimePoint heard_at;
-  };
   struct PendingCall {
     proto::ControlCall call;
     CallDone done;
@@ -83,10 +80,8 @@
   using Reply = std::function<void(const proto::ControlAnswer&)>;
 
   ControlService(ControlOptions options, HostLinks& links, Metrics& metrics);
-  void NoteHost(const proto::HostHello& hello, TimePoint now);
   void FillReply(const proto::HostHello& hello, proto::HelloReply& reply,
                  TimePoint now) const;
-  uint64_t DirectoryHash() const;
   void MaybeFound(TimePoint now);
   void MaybeFoundStores(TimePoint now);
   std::map<std::string, GroupCandidate> Candidates(bool control,
@@ -108,7 +103,7 @@
   ControlState state_;
   BackendRegistry registry_;
   std::unique_ptr<ConsensusGroup> group_;
-  std::map<std::string, HeardHost> heard_;
+  HostDirectory directory_;
   bool founder_ = false;
   bool stores_proposed_ = false;
   TimePoint stores_changed_at_;
--- a/src/fleet/fleet_member.cc
+++ b/src/fleet/fleet_member.cc
@@ -132,7 +132,8 @@
       continue;
     }
     proto::HostInfo& held = hosts_[info.host()];
-    if (held.incarnation() <= info.incarnation()) {
+    // The leader knows which process of a host is the later one.
+    if (reply.confirmed() || held.incarnation() <= info.incarnation()) {
       held = info;
       links_.Learn(info.host(), *address);
     }
--- a/test/correctness/fleet_test.cc
+++ b/test/correctness/fleet_test.cc
@@ -10,6 +10,7 @@
 #include "fleet/backend_registry.h"
 #include "fleet/control_state.h"
 #include "fleet/fleet_settings.h"
+#include "fleet/host_directory.h"
 #include "group/membership_planner.h"
 
 namespace sequoialb {
@@ -161,6 +162,32 @@
   return command.SerializeAsString();
 }
 
+proto::HostInfo Host(const std::string& host, uint64_t incarnation) {
+  proto::HostInfo info;
+  info.set_host(host);
+  info.set_incarnation(incarnation);
+  return info;
+}
+
+// Late greetings of a process that was killed do not undo its successor's.
+TEST(HostDirectory, KeepsTheLaterProcessOfAHost) {
+  HostDirectory directory;
+  EXPECT_TRUE(directory.Note(Host("h", 1'000), kNow));
+  EXPECT_TRUE(directory.Note(Host("h", 2'000), kNow + milliseconds(10)));
+  EXPECT_FALSE(directory.Note(Host("h", 1'000), kNow + milliseconds(20)));
+  EXPECT_EQ(directory.hosts().at("h").info.incarnation(), 2'000U);
+}
+
+// A host restarts after its time of day was set back by seconds.
+TEST(HostDirectory, TakesAProcessWhoseClockWasSetBack) {
+  HostDirectory directory;
+  EXPECT_TRUE(directory.Note(Host("h", 10'000), kNow));
+  EXPECT_TRUE(directory.Note(Host("h", 3'000), kNow + milliseconds(800)));
+  EXPECT_EQ(directory.hosts().at("h").info.incarnation(), 3'000U);
+  directory.Expire(kNow + seconds(40));
+  EXPECT_TRUE(directory.hosts().empty());
+}
+
 TEST(ControlState, OnlyAHigherVersionChangesTheCatalog) {
   ControlState state;
   EXPECT_TRUE(state.Apply(PutCommand(5, "five")).has_value());
