--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -16,9 +16,10 @@
 // least this often.
 constexpr milliseconds kLoadInterval{30};
 constexpr milliseconds kLoadAtLeast{200};
-// Fronts of other failure domains, which send here only when their own servers
-// are full, hear every so many words: most of the bytes cross domains.
-constexpr uint64_t kFarWordInterval = 3;
+// Fronts of other failure domains send here only when their own servers are
+// full. While this front's are not, they hear every so many words: most of the
+// bytes cross domains.
+constexpr uint64_t kFarWordInterval = 4;
 // Authority ends this much before a withdrawn key must have stopped working,
 // for clocks that do not run alike.
 constexpr milliseconds kWithdrawalMargin{250};
@@ -528,7 +529,8 @@
   told_load_ = own;
   told_waiting_ = waiting;
   told_at_ = now;
-  const bool far = words_told_++ % kFarWordInterval == 0;
+  const bool far = waiting > 0 || front_->pool.HomeIsFull(now) ||
+                   words_told_++ % kFarWordInterval == 0;
   PostControl([this, waiting, far, own = std::move(own)] {
     proto::FleetMessage message;
     proto::FrontLoad& load = *message.mutable_front_load();
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -88,6 +88,8 @@
   // Returns home servers whose items hold slots that online requests of other
   // fronts wait for, each as often as it should stop one.
   std::vector<std::string> ItemsToYield(TimePoint now) const;
+  // True when the home servers have no slot left for a batch item.
+  bool HomeIsFull(TimePoint now) const { return ItemRoom(now) == 0; }
   // How many other fronts there are.
   void SetPeers(size_t peers) { peers_ = peers; }
   // What this front has under way, by server.
