Let the replacement of a lost disk be asked for again at any stage

Once the replacement had ended, the lost node was no voter and the new one no newcomer, so every repetition was refused as "no replica with a new disk has been heard". Ruled out: an unsettled membership (that refusal has another text and ends). Change: the leader remembers replacements that it began; planning them is a pure part of its own (replacement). Test: SucceedsAgainWhileItRunsAndOnceItIsDone; the rule before refuses its third question (no newcomer).

--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -10,11 +10,8 @@
 
 // Commands handed out for one round of applying, beyond any usual round.
 constexpr uint64_t kCommittedBytes = 1U << 20U;
-
-bool Contains(const google::protobuf::RepeatedPtrField<std::string>& names,
-              const std::string& name) {
-  return std::find(names.begin(), names.end(), name) != names.end();
-}
+// Heartbeats that may stay unanswered by a node that is there.
+constexpr uint64_t kActiveRounds = 5;
 
 }  // namespace
 
@@ -626,6 +623,12 @@
   return true;
 }
 
+bool Raft::IsActive(const std::string& node) const {
+  const auto found = progress_.find(node);
+  return node == node_ || (found != progress_.end() &&
+                           found->second.acked_round + kActiveRounds >= round_);
+}
+
 uint64_t Raft::MatchOf(const std::string& node) const {
   const auto found = progress_.find(node);
   return found == progress_.end() ? 0 : found->second.match;
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -98,6 +98,9 @@
   // The last entry that a node is known to hold; for leaders.
   uint64_t MatchOf(const std::string& node) const;
 
+  // A leader has had an answer of the node within the last few heartbeats.
+  bool IsActive(const std::string& node) const;
+
  private:
   enum class ProgressState : uint8_t { kProbe, kReplicate, kSnapshot };
 
--- a/src/consensus/raft_types.h
+++ b/src/consensus/raft_types.h
@@ -1,6 +1,7 @@
 // The plain data that goes into and comes out of the agreement state machine.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -11,6 +12,13 @@
 
 namespace sequoialb {
 
+// Returns whether a list of a membership names a node.
+inline bool Contains(
+    const google::protobuf::RepeatedPtrField<std::string>& names,
+    const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 // Timing of the agreement. The election timeout is drawn from the given range
 // for each round, so that two candidates rarely split the votes twice.
 struct RaftOptions {
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -23,11 +23,6 @@
 constexpr int kDiskFailedExitCode = 70;
 constexpr char kIdentityFile[] = "identity";
 
-bool Contains(const google::protobuf::RepeatedPtrField<std::string>& names,
-              const std::string& name) {
-  return std::find(names.begin(), names.end(), name) != names.end();
-}
-
 void RemoveName(google::protobuf::RepeatedPtrField<std::string>* names,
                 const std::string& name) {
   names->erase(std::remove(names->begin(), names->end(), name), names->end());
@@ -383,36 +378,22 @@
 // votes once it has caught up, and only then does the lost one leave.
 Status Replica::ReplaceReplica(const std::string& host, const std::string& with,
                                TimePoint now) {
-  const std::string new_host = with.empty() ? host : with;
-  proto::Membership membership = raft_->membership();
-  std::string lost;
-  for (const std::string& voter : membership.voters()) {
-    if (HostOfNode(voter) == host) {
-      lost = voter;
-    }
+  const auto next = replacements_.Plan(
+      host, with, raft_->membership(), unformed_nodes_,
+      [this](const std::string& node) { return raft_->IsActive(node); });
+  if (!next) {
+    return tl::unexpected<Error>(next.error());
   }
-  if (lost.empty()) {
-    return Fail(ErrorCode::kNotFound, "no voter runs on host " + host);
-  }
-  const auto fresh = unformed_nodes_.find(new_host);
-  if (fresh == unformed_nodes_.end()) {
-    return Fail(ErrorCode::kNotFound,
-                "no replica with a new disk has been heard from host " +
-                    new_host + "; start it with an empty data folder");
-  }
-  if (Contains(membership.learners(), fresh->second) ||
-      Contains(membership.voters(), fresh->second)) {
+  if (!*next) {
     return {};  // Asked for already.
   }
-  membership.add_learners(fresh->second);
-  if (!Contains(membership.retiring(), lost)) {
-    membership.add_retiring(lost);
-  }
-  const Result<uint64_t> index = raft_->ProposeMembership(membership, now);
+  const Result<uint64_t> index = raft_->ProposeMembership(**next, now);
   if (!index) {
     return tl::unexpected<Error>(index.error());
   }
-  LogInfo("replica_replacement", {{"lost", lost}, {"with", fresh->second}});
+  const std::string& fresh = *(*next)->learners().rbegin();
+  replacements_.Begun(host, with, fresh);
+  LogInfo("replica_replacement", {{"lost_host", host}, {"with", fresh}});
   return {};
 }
 
@@ -489,6 +470,7 @@
     proposed_.clear();
     own_proposals_.clear();
     known_config_.clear();
+    replacements_.Clear();
     snapshot_sender_.Clear();
     if (was_leader && !became_leader) {
       LogInfo("leadership_lost",
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -19,6 +19,7 @@
 #include "consensus/group_formation.h"
 #include "consensus/raft.h"
 #include "consensus/raft_storage.h"
+#include "consensus/replacement.h"
 #include "consensus/snapshot_transfer.h"
 #include "ledger/ledger.h"
 #include "lots/blob_service.h"
@@ -140,7 +141,8 @@
   std::set<uint64_t> own_proposals_;
   std::map<std::string, uint64_t> known_config_;
   std::map<std::string, BlobsMissing> host_blobs_;
-  std::map<std::string, std::string> unformed_nodes_;
+  Replacements::Newcomers unformed_nodes_;
+  Replacements replacements_;
 
   RaftRole last_role_ = RaftRole::kFollower;
   uint64_t last_term_ = 0;
--- a/src/group/membership_planner.cc
+++ b/src/group/membership_planner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "consensus/group_formation.h"
+#include "consensus/raft_types.h"
 
 namespace sequoialb {
 namespace {
@@ -15,10 +16,6 @@
 
 using Names = google::protobuf::RepeatedPtrField<std::string>;
 
-bool Contains(const Names& names, const std::string& name) {
-  return std::find(names.begin(), names.end(), name) != names.end();
-}
-
 void Erase(Names& names, const std::string& name) {
   const auto found = std::find(names.begin(), names.end(), name);
   if (found != names.end()) {
--- /dev/null
+++ b/test/correctness/replacement_test.cc
@@ -0,0 +1,74 @@
+// An operator's call to replace a lost disk comes again after its answer was
+// lost, at each stage of the replacement.
+#include "consensus/replacement.h"
+
+#include <gtest/gtest.h>
+
+namespace sequoialb {
+namespace {
+
+class ReplacementTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    for (const char* node : {"h1@old", "h2@1", "h3@1"}) {
+      membership_.add_voters(node);
+    }
+  }
+
+  Result<std::optional<proto::Membership>> Ask(const std::string& host) {
+    return replacements_.Plan(host, "", membership_, newcomers_,
+                              [this](const std::string&) { return active_; });
+  }
+
+  proto::Membership membership_;
+  Replacements::Newcomers newcomers_;
+  Replacements replacements_;
+  bool active_ = true;
+};
+
+TEST_F(ReplacementTest, SucceedsAgainWhileItRunsAndOnceItIsDone) {
+  EXPECT_EQ(Ask("h1").error().code, ErrorCode::kNotFound);
+  newcomers_["h1"] = "h1@new";
+  const auto first = Ask("h1");
+  ASSERT_TRUE(first.has_value());
+  ASSERT_TRUE(first->has_value());
+  EXPECT_EQ((*first)->learners(0), "h1@new");
+  EXPECT_EQ((*first)->retiring(0), "h1@old");
+  replacements_.Begun("h1", "", "h1@new");
+
+  membership_ = **first;
+  newcomers_.clear();
+  auto again = Ask("h1");
+  ASSERT_TRUE(again.has_value()) << again.error().detail;
+  EXPECT_FALSE(again->has_value());
+
+  // Learned, voting, and the lost one gone.
+  membership_.Clear();
+  for (const char* node : {"h1@new", "h2@1", "h3@1"}) {
+    membership_.add_voters(node);
+  }
+  again = Ask("h1");
+  ASSERT_TRUE(again.has_value()) << again.error().detail;
+  EXPECT_FALSE(again->has_value());
+}
+
+TEST_F(ReplacementTest, ADiskThatIsLostOnceMoreIsReplacedOnceMore) {
+  replacements_.Begun("h1", "", "h1@new");
+  *membership_.mutable_voters(0) = "h1@new";
+  // Not started again yet: nothing can take its vote.
+  active_ = false;
+  EXPECT_EQ(Ask("h1").error().code, ErrorCode::kNotFound);
+  newcomers_["h1"] = "h1@newer";
+  const auto next = Ask("h1");
+  ASSERT_TRUE(next.has_value());
+  ASSERT_TRUE(next->has_value());
+  EXPECT_EQ((*next)->retiring(0), "h1@new");
+}
+
+TEST_F(ReplacementTest, RefusesAHostWithoutAVote) {
+  newcomers_["h9"] = "h9@1";
+  EXPECT_EQ(Ask("h9").error().code, ErrorCode::kNotFound);
+}
+
+}  // namespace
+}  // namespace sequoialb
