Promise "not run" only for requests that no server has had

A host was frozen with a request under way; when it woke it asked the next server, found its authority ended, and refused with 503 and run: not_run although the first server had run the request. Ruled out: the mapping of run states to statuses (it turns unknown into 502). Change: the request's own run state decides.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -242,7 +242,8 @@
   if (!front_.view.has_authority() || withdrawn) {
     End(request, {withdrawn ? ErrorCode::kBadKey : ErrorCode::kStaleConfig,
                   "the right to run the request ended while it waited",
-                  RunState::kNotRun, kNoAuthorityReturnMs});
+                  request.may_have_run ? RunState::kUnknown : RunState::kNotRun,
+                  kNoAuthorityReturnMs});
     return;
   }
   if (request.waiting) {
--- /dev/null
+++ b/test/correctness/gateway_test.cc
@@ -0,0 +1,195 @@
+// One front between raw callers and backend servers that misbehave: what it
+// repeats, and what its refusals promise.
+#include "gateway/gateway.h"
+
+#include <gtest/gtest.h>
+
+#include "../fakes/raw_sockets.h"
+#include "fleet/boot_clock.h"
+#include "observe/log.h"
+#include "platform/gateway_adapter.h"
+
+namespace sequoialb {
+namespace {
+
+using fakes::RawClient;
+using fakes::RawServer;
+
+constexpr char kWhole[] =
+    "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nResponse-Stamp: s\r\n"
+    "Content-Length: 2\r\n\r\nok";
+constexpr char kFull[] =
+    "HTTP/1.1 503 Busy\r\nRequest-Id: q\r\nNot-Run: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+
+class GatewayTest : public ::testing::Test {
+ protected:
+  static void SetUpTestSuite() { SetLogLevel("error"); }
+
+  // Opens a front with a route of a kind before servers e1, e2, ...; the first
+  // one gets the first attempt.
+  void Open(RouteKind kind, const std::vector<RawServer*>& servers) {
+    thread_.Run([&] {
+      front_ =
+          std::make_unique<FrontShared>(thread_.loop(), metrics_, adapter_);
+      rates_ = std::make_unique<RateKeeper>(thread_.loop(), metrics_,
+                                            [](const proto::TokenRequest&) {});
+      Gateway::Hooks hooks;
+      hooks.stop_item = [](const std::string&) { return false; };
+      hooks.slot_freed = [] {};
+      gateway_ = std::make_unique<Gateway>(*front_, *rates_, std::move(hooks));
+      front_->view.catalog = std::make_shared<CatalogIndex>(CatalogOf(kind));
+      front_->view.authority_until = BootNow() + seconds(60);
+      std::vector<UsableBackend> usable;
+      for (RawServer* server : servers) {
+        usable.push_back({"e" + std::to_string(usable.size() + 1), "s",
+                          server->address(), true, true, 4, false});
+      }
+      front_->pool.SetUsable(usable);
+      auto opened = HttpServer::Open(
+          thread_.loop(), {"127.0.0.1", 0}, {},
+          [this](const std::shared_ptr<HttpExchange>& exchange) {
+            gateway_->OnRequest(exchange);
+          },
+          metrics_);
+      server_ = std::move(*opened);
+    });
+  }
+
+  void TearDown() override {
+    thread_.Run([this] {
+      server_.reset();
+      gateway_.reset();
+      rates_.reset();
+      front_.reset();
+    });
+  }
+
+  static Catalog CatalogOf(RouteKind kind) {
+    Catalog catalog;
+    catalog.version = 1;
+    Route route;
+    route.name = "r";
+    route.host = "h.example";
+    route.path_prefix = "/a/";
+    route.kind = kind;
+    route.targets = {{"s", 1}};
+    route.timeout = milliseconds(9'000);
+    route.objective = milliseconds(8'000);
+    route.attempts = 3;
+    catalog.routes = {route};
+    catalog.services = {{"s", "/health", 10, 4}};
+    return catalog;
+  }
+
+  void EndAuthority() {
+    thread_.Run([this] { front_->view.authority_until = BootNow(); });
+  }
+
+  // Returns the whole answer's bytes.
+  std::string Ask() {
+    RawClient client(server_->port());
+    client.Send(
+        "POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q\r\n"
+        "Deadline-Ms: 9000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    return client.ReadAll();
+  }
+
+  static int StatusOf(const std::string& answer) {
+    return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
+  }
+
+  platform::GatewayAdapter adapter_;
+  Metrics metrics_;
+  fakes::LoopThread thread_;
+  std::unique_ptr<FrontShared> front_;
+  std::unique_ptr<RateKeeper> rates_;
+  std::unique_ptr<Gateway> gateway_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+// A server that answers every request with the same bytes, or breaks off.
+class Scripted : public RawServer {
+ public:
+  explicit Scripted(std::string answer, std::function<void()> before = nullptr)
+      : RawServer([this, answer = std::move(answer),
+                   before = std::move(before)](auto& socket, int) {
+          if (ReadRequest(socket).empty()) {
+            return;
+          }
+          ++asked;
+          if (before) {
+            before();
+          }
+          if (!answer.empty()) {
+            Write(socket, answer);
+          }
+        }) {}
+
+  std::atomic<int> asked{0};
+};
+
+// A host is frozen while a request is under way; the server breaks off, and the
+// host's authority has ended when it would ask the next one.
+TEST_F(GatewayTest, ARefusalAfterASendDoesNotPromiseThatNothingRan) {
+  Scripted breaks("", [this] { EndAuthority(); });
+  Scripted good(kWhole);
+  Open(RouteKind::kIdempotent, {&breaks, &good});
+  const std::string answer = Ask();
+  EXPECT_EQ(StatusOf(answer), 502) << answer;
+  EXPECT_NE(answer.find("\"run\":\"unknown\""), std::string::npos) << answer;
+  EXPECT_EQ(good.asked, 0);
+}
+
+TEST_F(GatewayTest, ARefusalBeforeAnySendPromisesThatNothingRan) {
+  Scripted good(kWhole);
+  Open(RouteKind::kIdempotent, {&good});
+  EndAuthority();
+  const std::string answer = Ask();
+  EXPECT_EQ(StatusOf(answer), 503);
+  EXPECT_NE(answer.find("\"run\":\"not_run\""), std::string::npos);
+  EXPECT_EQ(good.asked, 0);
+}
+
+TEST_F(GatewayTest, AnIdempotentRequestGoesOnAtAnotherServer) {
+  Scripted breaks("");
+  Scripted good(kWhole);
+  Open(RouteKind::kIdempotent, {&breaks, &good});
+  EXPECT_EQ(StatusOf(Ask()), 200);
+  EXPECT_EQ(breaks.asked, 1);
+  EXPECT_EQ(good.asked, 1);
+}
+
+TEST_F(GatewayTest, ARequestThatMayRunOnceIsNotRepeated) {
+  Scripted breaks("");
+  Scripted good(kWhole);
+  Open(RouteKind::kOnce, {&breaks, &good});
+  EXPECT_EQ(StatusOf(Ask()), 502);
+  EXPECT_EQ(breaks.asked, 1);
+  EXPECT_EQ(good.asked, 0);
+}
+
+TEST_F(GatewayTest,
+       ARequestThatMayRunOnceGoesOnAfterAServersWordThatItDidNotRun) {
+  Scripted full(kFull);
+  Scripted good(kWhole);
+  Open(RouteKind::kOnce, {&full, &good});
+  EXPECT_EQ(StatusOf(Ask()), 200);
+  EXPECT_EQ(full.asked, 1);
+  EXPECT_EQ(good.asked, 1);
+}
+
+// Every server refused it unrun: the refusal may promise that.
+TEST_F(GatewayTest, ARequestThatAllServersRefusedUnrunIsRefusedAsNotRun) {
+  Scripted full(kFull);
+  Scripted also_full(kFull);
+  Scripted third(kFull);
+  Open(RouteKind::kOnce, {&full, &also_full, &third});
+  const std::string answer = Ask();
+  EXPECT_EQ(StatusOf(answer), 503) << answer;
+  EXPECT_NE(answer.find("\"run\":\"not_run\""), std::string::npos);
+  EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+}
+
+}  // namespace
+}  // namespace sequoialb
