--- a/test/correctness/gateway_test.cc
+++ b/test/correctness/gateway_test.cc
@@ -41,6 +41,7 @@
       front_->view.catalog = std::make_shared<CatalogIndex>(CatalogOf(kind));
       front_->view.authority_until = BootNow() + seconds(60);
       std::vector<UsableBackend> usable;
+      usable.reserve(servers.size());
       for (RawServer* server : servers) {
         usable.push_back({"e" + std::to_string(usable.size() + 1), "s",
                           server->address(), true, true, 4, false});
--- a/test/correctness/spread_test.cc
+++ b/test/correctness/spread_test.cc
@@ -33,6 +33,7 @@
     for (int front = 0; front < kFronts; ++front) {
       pools_.emplace_back(static_cast<uint64_t>(front) + 1, policy);
       std::vector<UsableBackend> usable;
+      usable.reserve(kServers);
       for (int server = 0; server < kServers; ++server) {
         usable.push_back({Name(server),
                           "s",
