Let a store host take its group's log only once it knows who founded it

Ruled out: the loss of h3's disk by itself (one disk may be lost). Change: messages of the group wait until the founders are known, as they do on control hosts; founding over a log ends the process before anything is forgotten.

--- a/src/group/consensus_group.cc
+++ b/src/group/consensus_group.cc
@@ -190,6 +190,10 @@
                            TimePoint now) {
   founders_ = founders;
   WriteIdentity();
+  // What is on the disk would be forgotten; a new start reads both.
+  SEQ_CHECK(raft_->last_index() == 0 && raft_->term() == 0,
+            options_.name << " is founded on a log of " << raft_->last_index()
+                          << " entries");
   RaftPersistent persistent;
   for (const std::string& founder : founders) {
     persistent.snapshot.membership.add_voters(founder);
--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -65,6 +65,7 @@
 void StoreService::OnFleet(const std::map<std::string, proto::HostInfo>& hosts,
                            const proto::HelloReply& confirmed, TimePoint now) {
   const auto& founders = confirmed.store_founders();
+  knows_founders_ |= !founders.empty();
   const bool founds =
       std::find(founders.begin(), founders.end(), node()) != founders.end();
   if (founds && !group_->member()) {
@@ -88,6 +89,10 @@
 }
 
 void StoreService::OnGroup(const proto::RaftMessage& message, TimePoint now) {
+  // It may be a founder, which must not take a log before it has founded.
+  if (!group_->member() && !knows_founders_) {
+    return;
+  }
   const auto from = candidates_.find(
       message.from_node().substr(0, message.from_node().find('@')));
   if (from != candidates_.end() && from->second.node == message.from_node()) {
--- a/src/jobs/store_service.h
+++ b/src/jobs/store_service.h
@@ -62,6 +62,8 @@
   std::unique_ptr<ConsensusGroup> group_;
   std::map<std::string, GroupCandidate> candidates_;
   std::set<std::string> retiring_;
+  // A confirmed word of who founded the group has come.
+  bool knows_founders_ = false;
   bool led_ = false;
   std::set<ItemKey> recording_;
   TimePoint maintain_at_;
--- /dev/null
+++ b/test/correctness/store_service_test.cc
@@ -0,0 +1,93 @@
+// A store host's part in its group, by its messages.
+#include "jobs/store_service.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <gtest/gtest.h>
+
+#include "../fakes/memory_files.h"
+#include "observe/log.h"
+
+namespace sequoialb {
+namespace {
+
+const TimePoint kNow = TimePoint(seconds(1'000));
+
+class StoreServiceTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    SetLogLevel("error");
+    Address listen{"127.0.0.1", 0};
+    {
+      Poco::Net::ServerSocket free(Poco::Net::SocketAddress("127.0.0.1", 0));
+      listen.port = free.address().port();
+    }
+    self_.set_host("h1");
+    self_.set_failure_domain("d1");
+    self_.set_peer_address(listen.ToString());
+    self_.set_store(true);
+    auto links = HostLinks::Open(self_, listen, metrics_);
+    ASSERT_TRUE(links.has_value());
+    links_ = std::move(*links);
+    auto opened =
+        StoreService::Open(self_, "data", 1, files_, *links_, metrics_, kNow);
+    ASSERT_TRUE(opened.has_value());
+    store_ = std::move(*opened);
+  }
+
+  // A leader's entry of term 4.
+  proto::RaftMessage Append() const {
+    proto::RaftMessage message;
+    message.set_from_node("h2@1");
+    message.set_to_node(store_->node());
+    auto& request = *message.mutable_append_request();
+    request.set_term(4);
+    proto::LogEntry& entry = *request.add_entries();
+    entry.set_index(1);
+    entry.set_term(4);
+    return message;
+  }
+
+  proto::HelloReply Founded(const std::vector<std::string>& nodes) const {
+    proto::HelloReply reply;
+    reply.set_confirmed(true);
+    for (const std::string& node : nodes) {
+      reply.add_store_founders(node);
+    }
+    return reply;
+  }
+
+  proto::HostInfo self_;
+  Metrics metrics_;
+  fakes::MemoryFiles files_;
+  std::unique_ptr<HostLinks> links_;
+  std::unique_ptr<StoreService> store_;
+};
+
+// A founder is frozen while its group is founded, and hears the group's leader
+// before it hears of the founding. A log taken then would be forgotten when it
+// founds, and with it votes and entries that others count on.
+TEST_F(StoreServiceTest, AFounderTakesNoLogBeforeItHasFounded) {
+  store_->OnGroup(Append(), kNow);
+  store_->Flush(kNow);
+  EXPECT_EQ(store_->status().term(), 0U);
+  store_->OnFleet({}, Founded({store_->node(), "h2@1", "h3@1"}), kNow);
+  EXPECT_TRUE(store_->status().member());
+  store_->OnGroup(Append(), kNow);
+  store_->Flush(kNow);
+  EXPECT_EQ(store_->status().term(), 4U);
+  // Told again, it keeps what it has.
+  store_->OnFleet({}, Founded({store_->node(), "h2@1", "h3@1"}), kNow);
+  EXPECT_EQ(store_->status().term(), 4U);
+}
+
+// One whose disk was lost is no founder and learns from the leader.
+TEST_F(StoreServiceTest, AnotherDiskTakesTheLogOnceItKnowsTheFounders) {
+  store_->OnFleet({}, Founded({"h1@lost", "h2@1", "h3@1"}), kNow);
+  EXPECT_FALSE(store_->status().member());
+  store_->OnGroup(Append(), kNow);
+  store_->Flush(kNow);
+  EXPECT_EQ(store_->status().term(), 4U);
+}
+
+}  // namespace
+}  // namespace sequoialb
--- a/test/soak/fault_proxy.cc
+++ b/test/soak/fault_proxy.cc
@@ -42,7 +42,11 @@
 void FaultProxy::ResetAll() {
   thread_.Run([this] {
     for (const auto& [number, pair] : pairs_) {
-      pair->accepted.setLinger(true, 0);
+      try {
+        pair->accepted.setLinger(true, 0);
+      } catch (const Poco::Exception&) {
+        // The caller has closed it already.
+      }
       thread_.loop().Dispose(pair);
     }
     pairs_.clear();
