--- a/test/scenarios/fleet.cc
+++ b/test/scenarios/fleet.cc
@@ -198,11 +198,24 @@
 
 void Fleet::Kill(const std::string& name) {
   Process& process = At(name);
-  ::kill(process.pid, SIGKILL);
+  if (process.pid <= 0) {
+    return;
+  }
+  Signal(name, SIGKILL);
   ::waitpid(process.pid, nullptr, 0);
   process.pid = 0;
 }
 
+std::optional<int> Fleet::Ended(const std::string& name) {
+  Process& process = At(name);
+  int status = 0;
+  if (process.pid <= 0 || ::waitpid(process.pid, &status, WNOHANG) <= 0) {
+    return std::nullopt;
+  }
+  process.pid = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
 void Fleet::AddProcess(const std::string& name,
                        std::vector<std::string> command) {
   Process& process = processes_[name];
@@ -229,13 +242,20 @@
 }
 
 int Fleet::Stop(const std::string& name) {
-  Process& process = At(name);
-  ::kill(process.pid, SIGTERM);
+  Signal(name, SIGTERM);
   return Wait(name);
 }
 
-void Fleet::Freeze(const std::string& name) { ::kill(At(name).pid, SIGSTOP); }
-void Fleet::Thaw(const std::string& name) { ::kill(At(name).pid, SIGCONT); }
+void Fleet::Freeze(const std::string& name) { Signal(name, SIGSTOP); }
+void Fleet::Thaw(const std::string& name) { Signal(name, SIGCONT); }
+
+// Process 0 would be the whole group of this program.
+void Fleet::Signal(const std::string& name, int signal) {
+  const pid_t pid = At(name).pid;
+  if (pid > 0) {
+    ::kill(pid, signal);
+  }
+}
 
 void Fleet::Wipe(const std::string& name) {
   std::filesystem::remove_all(folder_ + "/" + name + ".data");
--- a/test/scenarios/fleet.h
+++ b/test/scenarios/fleet.h
@@ -5,6 +5,7 @@
 #include <sys/types.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,8 @@
   // Waits for a tool's end and returns its exit code.
   int Wait(const std::string& name);
   void Kill(const std::string& name);
+  // Returns the exit code of a started process that has ended by itself.
+  std::optional<int> Ended(const std::string& name);
   // Sends SIGTERM and returns the exit code.
   int Stop(const std::string& name);
   void Freeze(const std::string& name);
@@ -68,6 +71,7 @@
   const std::string& token() const { return token_; }
 
  private:
+  void Signal(const std::string& name, int signal);
   std::string DomainHosts(const std::string& domain) const;
 
   std::string programs_;
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -28,6 +28,8 @@
   void Kill(int host);
   // Sends SIGTERM and waits for the end, which must be graceful.
   int Stop(int host);
+  // Returns the exit code of a host that was started and ended by itself.
+  std::optional<int> Ended(int host) { return fleet_.Ended(NameOf(host)); }
   void Freeze(int host);
   void Thaw(int host);
   void Wipe(int host);
--- a/test/soak/fleet_soak.cc
+++ b/test/soak/fleet_soak.cc
@@ -66,6 +66,7 @@
       Inject();
       std::this_thread::sleep_for(milliseconds(Draw(100, 900)));
       EndDue(Clock::now());
+      CheckProcesses();
     }
     EndDue(TimePoint::max());
     const bool calm = CheckCalm();
@@ -87,6 +88,17 @@
                                     static_cast<uint64_t>(most - least + 1));
   }
 
+  void CheckProcesses() {
+    for (int host = 0; host < kHosts; ++host) {
+      const auto code = deployment_.Ended(host);
+      if (code) {
+        promises_.Broken("h" + std::to_string(host) +
+                         " ended by itself with code " + std::to_string(*code));
+        Start(host);
+      }
+    }
+  }
+
   bool Until(const std::string& what, const std::function<bool()>& done) {
     const TimePoint limit = Clock::now() + kRecovery;
     while (!done()) {
