Judge a server's silence by its usual pause; bound applied batches for groups only

Cause, found while reading the diff: a service whose events come half a second apart would have had all of its servers taken for silent after 150 ms, and its requests refused beside free slots; no site has one. And the bound on committed entries handed out at once also reached the other deployment's replica, which takes one batch a turn and would have led with entries not yet applied. Change: four usual pauses of the server at least; the bound is an option that only consensus groups set, whose reads wait until all is applied. Test: AServerThatIsSlowBetweenEventsIsNotTakenForSilent.

--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -8,8 +8,6 @@
 namespace sequoialb {
 namespace {
 
-// Commands handed out for one round of applying, beyond any usual round.
-constexpr uint64_t kCommittedBytes = 1U << 20U;
 // Heartbeats that may stay unanswered by a node that is there.
 constexpr uint64_t kActiveRounds = 5;
 
@@ -652,8 +650,8 @@
       SendAppends(node, progress, false);
     }
   }
-  // A bounded batch: after a start the whole log may be committed at once.
-  for (uint64_t bytes = 0; handed_out_ < commit_ && bytes < kCommittedBytes;) {
+  for (uint64_t bytes = 0;
+       handed_out_ < commit_ && bytes < options_.max_committed_bytes;) {
     ++handed_out_;
     ready_.committed.push_back(log_.At(handed_out_));
     bytes += ready_.committed.back().command().size();
--- a/src/consensus/raft_types.h
+++ b/src/consensus/raft_types.h
@@ -29,6 +29,9 @@
   milliseconds clock_margin{100};
   size_t max_append_bytes = 1U << 20U;
   size_t max_in_flight = 64;
+  // Bytes of committed commands that are handed out at once; the driver takes
+  // more until nothing is left.
+  uint64_t max_committed_bytes = UINT64_MAX;
 };
 
 // What must be durable before a vote or a reply leaves the node.
--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -27,6 +27,8 @@
 // other fronts have just sent there find room.
 constexpr double kAwaySpare = 1;
 constexpr double kOtherDomainSpare = 1;
+// Weight of the newest pause in a server's usual one.
+constexpr int kPauseMemory = 8;
 
 }  // namespace
 
@@ -75,7 +77,7 @@
                        TimePoint now) {
   return load.usable && load.backend.service == service &&
          now >= load.avoid_until &&
-         !IsQuiet(load.streaming, load.heard_at, now);
+         !IsQuiet(load.streaming, load.heard_at, load.usual_pause, now);
 }
 
 BackendPool::Step BackendPool::StepOf(const Load& load) {
@@ -290,6 +292,9 @@
 
 void BackendPool::Heard(const std::string& backend, bool first, TimePoint now) {
   Load& load = loads_[backend];
+  if (!first) {
+    load.usual_pause += (now - load.heard_at - load.usual_pause) / kPauseMemory;
+  }
   load.streaming += first ? 1 : 0;
   load.heard_at = now;
 }
@@ -297,7 +302,8 @@
 bool BackendPool::Quiet(const std::string& backend, TimePoint now) const {
   const auto found = loads_.find(backend);
   return found != loads_.end() &&
-         IsQuiet(found->second.streaming, found->second.heard_at, now);
+         IsQuiet(found->second.streaming, found->second.heard_at,
+                 found->second.usual_pause, now);
 }
 
 void BackendPool::Reported(const std::string& backend,
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -116,6 +116,8 @@
     // Own requests and items that have had bytes.
     uint32_t streaming = 0;
     TimePoint heard_at;
+    // Between bytes of any of them.
+    Duration usual_pause{0};
     // Requests of others, as of the last report.
     double others = 0;
     TimePoint reported_at;
--- a/src/gateway/stall_policy.h
+++ b/src/gateway/stall_policy.h
@@ -29,6 +29,8 @@
 // no new requests: several times the pause between two events, and half of the
 // shortest objective of the deployments.
 inline constexpr milliseconds kQuietAfter{150};
+// A server whose bytes usually come further apart is given so many such pauses.
+inline constexpr int kQuietPauses = 4;
 // Pause without a target of the route's.
 inline constexpr milliseconds kDefaultGap{1'000};
 
@@ -42,9 +44,13 @@
 }
 
 // Returns whether a server that has begun to answer `streaming` requests is
-// silent as a whole; bytes last came from it at `heard_at`.
-inline bool IsQuiet(uint32_t streaming, TimePoint heard_at, TimePoint now) {
-  return streaming > 0 && now - heard_at > kQuietAfter;
+// silent as a whole; bytes last came from it at `heard_at`, usually
+// `usual_pause` after those before.
+inline bool IsQuiet(uint32_t streaming, TimePoint heard_at,
+                    Duration usual_pause, TimePoint now) {
+  return streaming > 0 &&
+         now - heard_at >
+             std::max<Duration>(kQuietAfter, usual_pause * kQuietPauses);
 }
 
 // Returns when a request sent at `sent_at` without an answer so far is late
--- a/src/group/consensus_group.cc
+++ b/src/group/consensus_group.cc
@@ -29,6 +29,9 @@
   timing.heartbeat = milliseconds(100);
   timing.election_least = milliseconds(500);
   timing.election_most = milliseconds(900);
+  // After a start the whole log may be committed at once; each batch leaves the
+  // log in memory as it is applied.
+  timing.max_committed_bytes = 1U << 20U;
   return timing;
 }
 
--- a/test/correctness/gateway_decisions_test.cc
+++ b/test/correctness/gateway_decisions_test.cc
@@ -153,6 +153,20 @@
   EXPECT_EQ(pool.ChooseOnline("s", {}, At(2'000))->backend, "dark");
 }
 
+// A service whose events come half a second apart: its servers are not silent.
+TEST(BackendPool, AServerThatIsSlowBetweenEventsIsNotTakenForSilent) {
+  BackendPool pool;
+  pool.SetUsable({Server("slow", true, true)});
+  pool.Sent("slow", false);
+  pool.Heard("slow", true, At(0));
+  for (int event = 1; event <= 8; ++event) {
+    pool.Heard("slow", false, At(event * 500));
+  }
+  EXPECT_TRUE(pool.ChooseOnline("s", {}, At(4'900)).has_value());
+  // After several such pauses it is.
+  EXPECT_FALSE(pool.ChooseOnline("s", {}, At(6'500)).has_value());
+}
+
 TEST(BackendPool, AvoidsTriedServersAndOtherServices) {
   BackendPool pool;
   pool.SetUsable({Server("a", true, true)});
