Take out what nothing uses; decode a request's fields once

Cause: reading the whole change: a member, a stored incarnation and five test accessors without a reader, two constants with one meaning, and a request decoded up to three times on its way in.

--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -83,7 +83,6 @@
   std::unique_ptr<ControlService> control_;
   std::unique_ptr<StoreService> store_;
   std::unique_ptr<JobClient> jobs_;
-  std::vector<UsableBackend> published_;
 
   EventLoop loop_;
   std::unique_ptr<FrontShared> front_;
--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -26,7 +26,6 @@
 // Slots that a server away from home must have free, so that requests that
 // other fronts have just sent there find room.
 constexpr double kAwaySpare = 1;
-constexpr double kOtherDomainSpare = 1;
 // Weight of the newest pause in a server's usual one.
 constexpr int kPauseMemory = 8;
 
@@ -103,9 +102,7 @@
     }
     const auto slots = static_cast<double>(load.backend.slots);
     const double busy = Busy(load, now);
-    const double away =
-        load.backend.own_domain ? kAwaySpare : kOtherDomainSpare;
-    const double spare = load.backend.home || pressed ? 0 : away;
+    const double spare = load.backend.home || pressed ? 0 : kAwaySpare;
     const double free = slots - busy - spare;
     if (free < 1) {
       const bool fits =
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -95,12 +95,12 @@
 void Gateway::OnRequest(const std::shared_ptr<HttpExchange>& exchange) {
   started_.Add();
   const RequestHead& head = exchange->head();
+  CallerRequest caller = front_.protocol.DecodeRequest(head);
   const auto refuse = [&](ErrorCode code, const std::string& detail,
                           std::optional<int64_t> retry_after_ms = {}) {
     refused_.Add();
     const Error error{code, detail, RunState::kNotRun, retry_after_ms};
-    LogRefusal(front_.protocol.DecodeRequest(head).id, "", head.target, error,
-               Duration(0));
+    LogRefusal(caller.id, "", head.target, error, Duration(0));
     Refuse(front_, *exchange, error);
   };
   if (!front_.view.has_authority()) {
@@ -118,7 +118,7 @@
   }
   const Account* account = nullptr;
   if (!route->open && !catalog.catalog().accounts.empty()) {
-    account = catalog.FindAccount(front_.protocol.DecodeRequest(head).key);
+    account = catalog.FindAccount(caller.key);
     if (account == nullptr) {
       refuse(ErrorCode::kBadKey, "the key is unknown or withdrawn");
       return;
@@ -132,11 +132,12 @@
     hooks_.submit_job(exchange, *route, *account);
     return;
   }
-  Admit(exchange, *route, account);
+  Admit(exchange, std::move(caller), *route, account);
 }
 
 void Gateway::Admit(const std::shared_ptr<HttpExchange>& exchange,
-                    const Route& route, const Account* account) {
+                    CallerRequest caller, const Route& route,
+                    const Account* account) {
   auto owned = std::make_unique<Request>();
   Request& request = *owned;
   request.number = next_request_++;
@@ -144,7 +145,7 @@
   request.catalog = front_.view.catalog;
   request.route = &route;
   request.account = account == nullptr ? "" : account->name;
-  request.caller = front_.protocol.DecodeRequest(exchange->head());
+  request.caller = std::move(caller);
   request.last_event = request.caller.last_event;
   request.arrived_at = exchange->received_at();
   const milliseconds limit =
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -53,8 +53,8 @@
  private:
   struct Request;
 
-  void Admit(const std::shared_ptr<HttpExchange>& exchange, const Route& route,
-             const Account* account);
+  void Admit(const std::shared_ptr<HttpExchange>& exchange,
+             CallerRequest caller, const Route& route, const Account* account);
   void OnToken(uint64_t number, const RateKeeper::Answer& answer);
   void Dispatch(Request& request);
   bool TrySend(Request& request);
--- a/src/http/tcp_stream.h
+++ b/src/http/tcp_stream.h
@@ -37,8 +37,6 @@
   TcpStream(EventLoop& loop, const Address& address, Owner owner);
   ~TcpStream() override;
 
-  void SetOwner(Owner owner) { owner_ = std::move(owner); }
-
   void Write(std::string_view data);
   // Closes at once, dropping what was not sent; no callbacks follow.
   void Close();
--- a/src/jobs/item_board.cc
+++ b/src/jobs/item_board.cc
@@ -78,7 +78,7 @@
 void ItemBoard::OnReport(const std::string& front,
                          const proto::ItemReport& report, TimePoint now,
                          proto::ItemOffers& answer) {
-  fronts_[front] = {now, report.incarnation()};
+  fronts_[front] = now;
   TakeReported(front, report, now, answer);
   size_t room = 0;
   for (const auto& entry : report.room()) {
@@ -218,7 +218,7 @@
 
 void ItemBoard::Tick(TimePoint now) {
   for (auto it = fronts_.begin(); it != fronts_.end();) {
-    if (now - it->second.heard_at <= kFrontSilent) {
+    if (now - it->second <= kFrontSilent) {
       ++it;
       continue;
     }
--- a/src/jobs/item_board.h
+++ b/src/jobs/item_board.h
@@ -78,10 +78,6 @@
     bool winnable = false;
     int64_t due_at = 0;
   };
-  struct Front {
-    TimePoint heard_at;
-    uint64_t incarnation = 0;
-  };
 
   const KeptItem* Wanted(const Key& key) const;
   void TakeReported(const std::string& front, const proto::ItemReport& report,
@@ -101,7 +97,8 @@
   std::map<Key, Running> running_;
   std::map<Key, Progress> progress_;
   std::map<Key, TimePoint> not_before_;
-  std::map<std::string, Front> fronts_;
+  // When each front was last heard.
+  std::map<std::string, TimePoint> fronts_;
   // Means over the runs of late, the newest weighing most.
   double typical_run_s_ = 0;
   double typical_events_ = 0;
--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -84,7 +84,7 @@
     candidate.node = info.node();
     candidate.failure_domain = info.failure_domain();
   }
-  // Other hosts only hear of themselves from the directory.
+  // The directory names the other hosts alone.
   candidates_[self_.host()] = {node(), self_.failure_domain(), now};
 }
 
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -39,12 +39,9 @@
   Address ControlAt(int host) const { return {Ip(1, host), port_ + 1}; }
   // Where callers reach a front, through its proxy.
   Address FrontAt(int host) const;
-  Address ReadyAt(int host) const { return {Ip(1, host), port_ + 2}; }
 
   // Proxies before the links of hosts, before fronts and before servers.
   std::vector<FaultProxy*> Proxies() const;
-  FaultProxy& LinksOf(int host) { return *links_[static_cast<size_t>(host)]; }
-  FaultProxy& EngineProxy(size_t engine) { return *engine_proxies_[engine]; }
   std::vector<std::unique_ptr<fakes::PlatformEngine>>& engines() {
     return engines_;
   }
--- a/test/soak/fault_proxy.cc
+++ b/test/soak/fault_proxy.cc
@@ -59,7 +59,6 @@
     Poco::Net::StreamSocket accepted = socket_.acceptConnection();
     const uint64_t number = next_++;
     auto pair = std::make_shared<Pair>();
-    pair->number = number;
     pair->accepted = accepted;
     pairs_[number] = pair;
     pair->near = std::make_unique<TcpStream>(thread_.loop(), accepted,
--- a/test/soak/fault_proxy.h
+++ b/test/soak/fault_proxy.h
@@ -41,7 +41,6 @@
   };
   // A caller's connection and the one to the target.
   struct Pair {
-    uint64_t number = 0;
     Poco::Net::StreamSocket accepted;
     std::unique_ptr<TcpStream> near;
     std::unique_ptr<TcpStream> far;
--- a/test/soak/traffic.cc
+++ b/test/soak/traffic.cc
@@ -57,11 +57,6 @@
   CollectRuns();
 }
 
-std::string Traffic::CurrentKey() {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return keys_.back();
-}
-
 // Mostly one in force; now and then one that was withdrawn.
 std::string Traffic::SomeKey(Random& random) {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/test/soak/traffic.h
+++ b/test/soak/traffic.h
@@ -41,7 +41,6 @@
   void ChangeAlways();
   void AnnounceAlways();
   void CollectRuns();
-  std::string CurrentKey();
   std::string SomeKey(Random& random);
   std::string ConfigText(uint64_t version) const;
   void Submit(const std::string& job, size_t items, Random& random);
