Stop reading bytes without end from backend servers

Cause: a server in trouble may send bytes that are no answer until its caller closes. EventParser kept an event without end whole and searched it from the start with each piece; HttpClient read interim responses, trailers and answers to other requests without limit; any byte of a stream or an item's answer counted as progress, so that a stream or an item whose server dripped bytes was never retried elsewhere, and an item's output had no bound.

Ruled out: a limit on a whole answer's size, which only its caller knows; such an answer ends with the request's deadline, and at most 256 KB of it are kept.

Change: events of at most 256 KB, each byte searched once; 256 KB of other answers and interim responses a call, 16 KB of trailers; only a new event, or an event with data where there are no ids, is progress; an item's output of more than 900 KB is dropped and the item returned; a failure status counts even when its body does not end.

--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -82,7 +82,7 @@
                              TimePoint now) {
   return load.usable && load.backend.service == service &&
          now >= load.backoff_until &&
-         !IsServerStalled(load.streaming, load.last_bytes_at, load.mean_gap,
+         !IsServerStalled(load.streaming, load.last_progress_at, load.mean_gap,
                           now);
 }
 
@@ -299,22 +299,23 @@
   load.streaming -= streaming && load.streaming > 0 ? 1 : 0;
 }
 
-void BackendPool::RecordBytes(const std::string& backend, bool first,
-                              TimePoint now) {
+void BackendPool::RecordProgress(const std::string& backend, bool first,
+                                 TimePoint now) {
   Load& load = loads_[backend];
   if (!first) {
     load.mean_gap +=
-        (now - load.last_bytes_at - load.mean_gap) / kMeanGapDivisor;
+        (now - load.last_progress_at - load.mean_gap) / kMeanGapDivisor;
   }
   load.streaming += first ? 1 : 0;
-  load.last_bytes_at = now;
+  load.last_progress_at = now;
 }
 
 bool BackendPool::IsStalled(const std::string& backend, TimePoint now) const {
   const auto found = loads_.find(backend);
   return found != loads_.end() &&
-         IsServerStalled(found->second.streaming, found->second.last_bytes_at,
-                         found->second.mean_gap, now);
+         IsServerStalled(found->second.streaming,
+                         found->second.last_progress_at, found->second.mean_gap,
+                         now);
 }
 
 void BackendPool::RecordServerLoad(const std::string& backend,
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -88,7 +88,7 @@
   void RecordEnded(const std::string& backend, bool item, bool streaming);
   // Records that bytes of an answer have been received; `first` says whether
   // they were the first bytes of that answer.
-  void RecordBytes(const std::string& backend, bool first, TimePoint now);
+  void RecordProgress(const std::string& backend, bool first, TimePoint now);
   // Returns whether all answers that the server has begun for this front have
   // stalled.
   bool IsStalled(const std::string& backend, TimePoint now) const;
@@ -135,7 +135,7 @@
     // Online requests and batch items of this front whose answers have begun.
     uint32_t streaming = 0;
     // When bytes of any of those answers were last received.
-    TimePoint last_bytes_at;
+    TimePoint last_progress_at;
     // Moving average of the time between received bytes, over all those answers
     // together.
     Duration mean_gap{0};
--- a/src/gateway/event_parser.cc
+++ b/src/gateway/event_parser.cc
@@ -13,22 +13,6 @@
   return value;
 }
 
-// Returns the offset after the first empty line, or npos.
-size_t EventEnd(const std::string& buffer) {
-  size_t at = 0;
-  while (true) {
-    const size_t feed = buffer.find('\n', at);
-    if (feed == std::string::npos) {
-      return std::string::npos;
-    }
-    const bool empty = feed == at || (feed == at + 1 && buffer[at] == '\r');
-    if (empty) {
-      return feed + 1;
-    }
-    at = feed + 1;
-  }
-}
-
 void ParseLine(std::string_view line, StreamEvent& event, bool& has_data) {
   if (!line.empty() && line.back() == '\r') {
     line.remove_suffix(1);
@@ -52,14 +36,39 @@
 
 }  // namespace
 
+void EventParser::Clear() {
+  buffer_.clear();
+  line_begin_ = 0;
+  searched_ = 0;
+}
+
+std::optional<size_t> EventParser::FindEventEnd() {
+  while (true) {
+    const size_t feed = buffer_.find('\n', searched_);
+    if (feed == std::string::npos) {
+      searched_ = buffer_.size();
+      return std::nullopt;
+    }
+    const bool empty = feed == line_begin_ || (feed == line_begin_ + 1 &&
+                                               buffer_[line_begin_] == '\r');
+    line_begin_ = feed + 1;
+    searched_ = feed + 1;
+    if (empty) {
+      return feed + 1;
+    }
+  }
+}
+
 std::optional<StreamEvent> EventParser::Next() {
-  const size_t end = EventEnd(buffer_);
-  if (end == std::string::npos) {
+  const std::optional<size_t> end = FindEventEnd();
+  if (!end) {
     return std::nullopt;
   }
   StreamEvent event;
-  event.raw = buffer_.substr(0, end);
-  buffer_.erase(0, end);
+  event.raw = buffer_.substr(0, *end);
+  buffer_.erase(0, *end);
+  line_begin_ = 0;
+  searched_ = 0;
   std::string_view rest = event.raw;
   bool has_data = false;
   while (!rest.empty()) {
--- a/src/gateway/event_parser.h
+++ b/src/gateway/event_parser.h
@@ -2,7 +2,9 @@
 //
 // A backend server may fail in the middle of an event. Only whole events are
 // passed on, so that a stream can be resumed at another server after the last
-// whole event.
+// whole event. A server in trouble may also send bytes without end that never
+// make up an event: the parser looks at each byte once, and reports an event
+// that is longer than any real one.
 #pragma once
 
 #include <cstdint>
@@ -29,10 +31,23 @@
 
   // Returns whether bytes of an incomplete event are buffered.
   bool partial() const { return !buffer_.empty(); }
-  void Clear() { buffer_.clear(); }
+  // Returns whether the incomplete event is longer than any real one. Call when
+  // Next() returns nothing.
+  bool too_long() const { return buffer_.size() > kMaxEventBytes; }
+  void Clear();
+
+  static constexpr size_t kMaxEventBytes = 262'144;
 
  private:
+  // Returns the offset after the first empty line, or nothing while there is
+  // none.
+  std::optional<size_t> FindEventEnd();
+
   std::string buffer_;
+  // Where the first line begins whose end has not been found, and up to where
+  // that end has been searched for.
+  size_t line_begin_ = 0;
+  size_t searched_ = 0;
 };
 
 }  // namespace sequoialb
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -59,9 +59,10 @@
   std::string service;
   TimePoint arrived_at;
   TimePoint sent_at;
-  // When bytes were last received from the current server, or TimePoint() when
-  // none have been.
-  TimePoint last_bytes_at;
+  // When the current server last sent a part of its answer, or TimePoint() when
+  // it has not. Of an event stream only new events count, because a server in
+  // trouble may send other bytes without end.
+  TimePoint last_progress_at;
   TimePoint deadline;
   TimerId deadline_timer = 0;
   bool waiting = false;
@@ -268,7 +269,7 @@
   ++request.attempts;
   request.backend = choice.backend;
   request.sent_at = now;
-  request.last_bytes_at = TimePoint();
+  request.last_progress_at = TimePoint();
   request.item_stopped = choice.stop_item;
   request.may_have_run_before = request.may_have_run;
   request.may_have_run = true;
@@ -303,7 +304,7 @@
   request.call.reset();
   if (!request.backend.empty()) {
     front_.pool.RecordEnded(request.backend, false,
-                            request.last_bytes_at != TimePoint());
+                            request.last_progress_at != TimePoint());
     request.backend.clear();
   }
 }
@@ -384,17 +385,17 @@
                   RunState::kRan});
     return;
   }
-  RecordBytes(request);
+  RecordProgress(request);
   if (!request.head_forwarded) {
     ForwardHead(request, head);
   }
 }
 
-void Gateway::RecordBytes(Request& request) {
+void Gateway::RecordProgress(Request& request) {
   const TimePoint now = front_.loop.now();
-  front_.pool.RecordBytes(request.backend, request.last_bytes_at == TimePoint(),
-                          now);
-  request.last_bytes_at = now;
+  front_.pool.RecordProgress(request.backend,
+                             request.last_progress_at == TimePoint(), now);
+  request.last_progress_at = now;
 }
 
 void Gateway::ForwardHead(Request& request, const ResponseHead& head) {
@@ -432,23 +433,17 @@
 }
 
 void Gateway::OnData(Request& request, std::string_view data) {
-  RecordBytes(request);
   if (!request.is_event_stream) {
+    RecordProgress(request);
     request.exchange->Send(data);
   } else {
-    request.parser.Add(data);
-    std::string whole;
-    while (auto event = request.parser.Next()) {
-      // Skips events that the caller has already received.
-      const bool repeated =
-          event->id && request.last_event && *event->id <= *request.last_event;
-      if (repeated) {
-        continue;
-      }
-      request.last_event = event->id ? event->id : request.last_event;
-      whole += event->raw;
+    ForwardEvents(request, data);
+    if (request.parser.too_long()) {
+      LogWarn("event_without_end",
+              {{"request", request.caller.id}, {"backend", request.backend}});
+      OnFailure(request, CallFailure::kBroken);
+      return;
     }
-    request.exchange->Send(whole);
   }
   if (request.exchange->unsent() > kMaxUnsent && !request.paused) {
     request.paused = true;
@@ -462,6 +457,27 @@
   }
 }
 
+void Gateway::ForwardEvents(Request& request, std::string_view data) {
+  request.parser.Add(data);
+  std::string whole;
+  bool progress = false;
+  while (auto event = request.parser.Next()) {
+    // Skips events that the caller has already received.
+    const bool repeated =
+        event->id && request.last_event && *event->id <= *request.last_event;
+    if (repeated) {
+      continue;
+    }
+    progress = progress || event->id || !event->data.empty();
+    request.last_event = event->id ? event->id : request.last_event;
+    whole += event->raw;
+  }
+  if (progress) {
+    RecordProgress(request);
+  }
+  request.exchange->Send(whole);
+}
+
 void Gateway::OnComplete(Request& request) {
   if (request.is_event_stream && request.parser.partial()) {
     OnFailure(request, CallFailure::kBroken);
@@ -501,9 +517,9 @@
   if (request.call == nullptr || request.paused || !CanRetry(request)) {
     return false;
   }
-  if (request.last_bytes_at != TimePoint()) {
+  if (request.last_progress_at != TimePoint()) {
     return request.is_event_stream &&
-           now >= StreamStallsAt(*request.route, request.last_bytes_at);
+           now >= StreamStallsAt(*request.route, request.last_progress_at);
   }
   const TimePoint stalls_at =
       front_.pool.IsStalled(request.backend, now)
@@ -530,7 +546,7 @@
     const std::string backend = request->backend;
     // A stalled stream shows that the server has failed; a request without a
     // first event may just be queued there.
-    if (request->last_bytes_at != TimePoint() ||
+    if (request->last_progress_at != TimePoint() ||
         front_.pool.IsStalled(backend, now)) {
       front_.pool.RecordFailure(backend, now);
     } else {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -65,9 +65,11 @@
   std::string ForwardedBytes(const Request& request, const std::string& backend,
                              int64_t left_ms) const;
   void OnHead(Request& request, const ResponseHead& head);
-  void RecordBytes(Request& request);
+  void RecordProgress(Request& request);
   void ForwardHead(Request& request, const ResponseHead& head);
   void OnData(Request& request, std::string_view data);
+  // Forwards the whole events among the received bytes.
+  void ForwardEvents(Request& request, std::string_view data);
   void OnComplete(Request& request);
   void OnFailure(Request& request, CallFailure failure);
   bool HasStalled(const Request& request, TimePoint now) const;
--- a/src/gateway/stall_policy.h
+++ b/src/gateway/stall_policy.h
@@ -50,12 +50,12 @@
 }
 
 // Returns whether a server that has begun to answer `streaming` requests has
-// stalled on all of them. Its last bytes were received at `last_bytes_at`, and
-// `mean_gap` is the mean time between received bytes.
-inline bool IsServerStalled(uint32_t streaming, TimePoint last_bytes_at,
+// stalled on all of them. Its last bytes were received at `last_progress_at`,
+// and `mean_gap` is the mean time between received bytes.
+inline bool IsServerStalled(uint32_t streaming, TimePoint last_progress_at,
                             Duration mean_gap, TimePoint now) {
   return streaming > 0 &&
-         now - last_bytes_at >
+         now - last_progress_at >
              std::max<Duration>(kServerStallTime, mean_gap * kServerStallGaps);
 }
 
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr size_t kMaxHeadBytes = 65'536;
+// A call fails after this many bytes of interim responses and of answers to
+// other requests, because a failing server may send them without end.
+constexpr size_t kMaxSkippedBytes = 262'144;
 // Idle connections kept for one backend server.
 constexpr size_t kMaxIdlePerServer = 16;
 // Longest time for which an idle connection is kept. The server's Keep-Alive
@@ -54,6 +57,7 @@
     events_ = std::move(events);
     active_ = true;
     mismatched_ = false;
+    skipped_bytes_ = 0;
     head_.reset();
     if (!stream_.connected()) {
       timer_ = loop_.RunAt(options_.connect_deadline, [this] {
@@ -131,6 +135,7 @@
     }
     input.erase(0, *size);
     if (head->status < 200) {
+      Skip(*size);
       return;
     }
     const std::string* echo = head->headers.Find(options_.request_id_header);
@@ -146,6 +151,9 @@
     } else {
       events_.on_head(*head_);
     }
+    if (mismatched_ && !Skip(*size)) {
+      return;
+    }
     if (active_ && decoder_->state() == BodyDecoder::State::kDone) {
       OnBodyDone();
     }
@@ -154,7 +162,11 @@
   void ReadBody() {
     std::string& input = stream_.input();
     std::string data;
-    input.erase(0, decoder_->Feed(input, data));
+    const size_t used = decoder_->Feed(input, data);
+    input.erase(0, used);
+    if (mismatched_ && !Skip(used)) {
+      return;
+    }
     if (!data.empty() && !mismatched_) {
       events_.on_data(data);
       if (!active_) {
@@ -168,6 +180,19 @@
     }
   }
 
+  // Counts bytes that are no part of the call's answer. Fails the call and
+  // returns false when there are too many.
+  bool Skip(size_t bytes) {
+    skipped_bytes_ += bytes;
+    if (skipped_bytes_ <= kMaxSkippedBytes) {
+      return true;
+    }
+    LogWarn("answer_without_end",
+            {{"backend", address_}, {"request", options_.request_id}});
+    Fail(CallFailure::kBroken);
+    return false;
+  }
+
   void OnBodyDone() {
     if (mismatched_) {
       head_.reset();
@@ -237,6 +262,7 @@
   bool active_ = false;
   // The response being read belongs to another request.
   bool mismatched_ = false;
+  size_t skipped_bytes_ = 0;
   bool not_reusable_ = false;
 };
 
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -8,6 +8,8 @@
 namespace {
 
 // A longer chunk-size or trailer line is malformed.
+// Trailer fields are read and dropped; more than this is malformed.
+constexpr size_t kMaxTrailerBytes = 16'384;
 constexpr size_t kMaxChunkLine = 4'096;
 constexpr size_t kMaxChunkDigits = 15;
 
@@ -356,7 +358,12 @@
     return;
   }
   if (part_ == Part::kTrailer) {
-    state_ = line.empty() ? State::kDone : State::kIncomplete;
+    trailer_bytes_ += line.size();
+    if (line.empty()) {
+      state_ = State::kDone;
+    } else if (trailer_bytes_ > kMaxTrailerBytes) {
+      state_ = State::kMalformed;
+    }
     return;
   }
   const std::string_view digits =
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -113,6 +113,8 @@
   Part part_ = Part::kSize;
   uint64_t remaining_ = 0;
   std::string line_;
+  // Bytes of the trailer fields so far.
+  size_t trailer_bytes_ = 0;
 };
 
 // Appends `data` to `out` as one chunk of a chunked body.
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -16,6 +16,9 @@
 // Items are not urgent, so a response counts as stalled only after many times
 // the usual pause between events.
 constexpr milliseconds kStallTimeout{800};
+// A run whose output is longer than this is returned without it. The output of
+// one item must fit into the answer to a read of results.
+constexpr size_t kMaxOutputBytes = 900'000;
 constexpr int kStatusNeverPossible = 422;
 constexpr int kStatusFailed = 500;
 
@@ -24,8 +27,9 @@
 struct ItemRunner::Run {
   proto::ItemOffer offer;
   TimePoint accepted_at;
-  // When the request was sent, or response bytes last arrived.
-  TimePoint last_data_at;
+  // When the request was sent, or its answer last made progress. Bytes that are
+  // no new event are no progress.
+  TimePoint last_progress_at;
   std::unique_ptr<HttpCall> call;
   std::string backend;
   EventParser parser;
@@ -112,7 +116,7 @@
   bytes += "Content-Length: " + std::to_string(item.body().size()) + "\r\n\r\n";
   bytes += item.body();
   started_.Add();
-  run.last_data_at = front_.loop.now();
+  run.last_progress_at = front_.loop.now();
   run.backend = choice.backend;
   front_.pool.RecordSent(run.backend, true);
   CallOptions options;
@@ -167,13 +171,11 @@
 }
 
 void ItemRunner::OnData(Run& run, std::string_view data) {
-  run.last_data_at = front_.loop.now();
-  front_.pool.RecordBytes(run.backend, !run.received_data, run.last_data_at);
-  run.received_data = true;
   if (!run.streaming) {
     return;
   }
   run.parser.Add(data);
+  bool progress = false;
   while (auto event = run.parser.Next()) {
     const bool repeated =
         event->id && run.last_event && *event->id <= *run.last_event;
@@ -185,7 +187,32 @@
     }
     run.output += event->data;
     run.last_event = event->id;
+    progress = true;
   }
+  if (progress) {
+    run.last_progress_at = front_.loop.now();
+    front_.pool.RecordProgress(run.backend, !run.received_data,
+                               run.last_progress_at);
+    run.received_data = true;
+  }
+  if (run.parser.too_long() || run.output.size() > kMaxOutputBytes) {
+    RejectOutput(run);
+  }
+}
+
+// Returns an item whose server sends bytes without end, with the output from
+// before this run.
+void ItemRunner::RejectOutput(Run& run) {
+  LogWarn("item_output_without_end", {{"job", run.offer.job()},
+                                      {"item", run.offer.item().id()},
+                                      {"backend", run.backend}});
+  front_.pool.RecordFailure(run.backend, front_.loop.now());
+  run.output = run.offer.output();
+  run.last_event.reset();
+  if (run.offer.has_last_event()) {
+    run.last_event = run.offer.last_event();
+  }
+  End(run, proto::ItemOutcome::kReturned);
 }
 
 void ItemRunner::End(Run& run, proto::ItemOutcome::Kind kind) {
@@ -258,7 +285,7 @@
   const TimePoint now = front_.loop.now();
   std::vector<Run*> stalled;
   for (const auto& [key, run] : runs_) {
-    if (run->call != nullptr && now - run->last_data_at > kStallTimeout) {
+    if (run->call != nullptr && now - run->last_progress_at > kStallTimeout) {
       stalled.push_back(run.get());
     }
   }
@@ -267,7 +294,7 @@
                              {"item", run->offer.item().id()},
                              {"backend", run->backend}});
     front_.pool.RecordFailure(run->backend, now);
-    End(*run, proto::ItemOutcome::kReturned);
+    End(*run, run->status_outcome.value_or(proto::ItemOutcome::kReturned));
   }
 }
 
--- a/src/jobs/item_runner.h
+++ b/src/jobs/item_runner.h
@@ -56,6 +56,7 @@
   void Send(Run& run, const Choice& choice);
   void OnHead(Run& run, const ResponseHead& head);
   void OnData(Run& run, std::string_view data);
+  void RejectOutput(Run& run);
   void End(Run& run, proto::ItemOutcome::Kind kind);
 
   FrontShared& front_;
--- a/test/correctness/gateway_decisions_test.cc
+++ b/test/correctness/gateway_decisions_test.cc
@@ -147,14 +147,14 @@
   // A request without an answer may just be queued, so the server is not
   // stalled.
   EXPECT_EQ(pool.ChooseOnline("s", {}, At(400))->backend, "stalling");
-  pool.RecordBytes("stalling", true, At(400));
-  pool.RecordBytes("stalling", true, At(420));
+  pool.RecordProgress("stalling", true, At(400));
+  pool.RecordProgress("stalling", true, At(420));
   EXPECT_EQ(pool.ChooseOnline("s", {}, At(500))->backend, "stalling");
   EXPECT_FALSE(pool.IsStalled("stalling", At(500)));
   EXPECT_EQ(pool.ChooseOnline("s", {}, At(600))->backend, "healthy");
   EXPECT_EQ(pool.FreeItemSlots(At(600)), 0U);
   EXPECT_TRUE(pool.IsStalled("stalling", At(600)));
-  pool.RecordBytes("stalling", false, At(610));
+  pool.RecordProgress("stalling", false, At(610));
   EXPECT_EQ(pool.ChooseOnline("s", {}, At(620))->backend, "stalling");
   // A server without streams is not stalled.
   pool.RecordEnded("stalling", false, true);
@@ -168,9 +168,9 @@
   BackendPool pool;
   pool.SetUsable({Server("slow", true, true)});
   pool.RecordSent("slow", false);
-  pool.RecordBytes("slow", true, At(0));
+  pool.RecordProgress("slow", true, At(0));
   for (int event = 1; event <= 8; ++event) {
-    pool.RecordBytes("slow", false, At(event * 500));
+    pool.RecordProgress("slow", false, At(event * 500));
   }
   EXPECT_TRUE(pool.ChooseOnline("s", {}, At(4'900)).has_value());
   // After several such gaps it has stalled.
--- a/test/correctness/gateway_test.cc
+++ b/test/correctness/gateway_test.cc
@@ -76,7 +76,9 @@
     route.kind = kind;
     route.targets = {{"s", 1}};
     route.timeout = milliseconds(9'000);
-    route.latency_target = milliseconds(8'000);
+    route.latency_target = milliseconds(1'000);
+    route.gap_target = milliseconds(400);
+    route.resumable = kind == RouteKind::kStream;
     route.attempts = 3;
     catalog.routes = {route};
     catalog.services = {{"s", "/health", 10, 4}};
@@ -195,5 +197,81 @@
   EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
 }
 
+constexpr char kStreamHead[] =
+    "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nResponse-Stamp: s\r\n"
+    "Content-Type: text/event-stream\r\n\r\n";
+constexpr char kRestOfStream[] =
+    "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nResponse-Stamp: s\r\n"
+    "Content-Type: text/event-stream\r\nContent-Length: 30\r\n\r\n"
+    "id: 1\ndata: b\n\nid: 2\ndata: c\n\n";
+
+// Backend servers in trouble send bytes without end that never make up an
+// event, quickly or slowly, before the first event or after it. The stream is
+// resumed at another server after the last whole event.
+class EndlessStreamTest : public GatewayTest {
+ protected:
+  void ExpectResumed(const std::string& first_events,
+                     const std::string& endless,
+                     milliseconds pause = milliseconds(0)) {
+    fakes::EndlessServer endless_server(kStreamHead + first_events, endless,
+                                        pause);
+    ScriptedServer good(kRestOfStream);
+    Open(RouteKind::kStream, {&endless_server, &good});
+    ScheduleStallChecks();
+    const std::string answer = SendRequest();
+    EXPECT_EQ(endless_server.requests, 1);
+    EXPECT_EQ(good.requests, 1) << answer.substr(0, 1'000);
+    EXPECT_NE(answer.find("id: 2\ndata: c\n\n"), std::string::npos)
+        << answer.substr(0, 1'000);
+    EXPECT_LT(endless_server.sent, fakes::EndlessServer::kMaxBytes);
+    EXPECT_LT(answer.size(), 10'000U);
+  }
+
+  void ScheduleStallChecks() {
+    thread_.Run([this] { CheckStallsRepeatedly(); });
+  }
+
+ private:
+  void CheckStallsRepeatedly() {
+    gateway_->CheckStalls();
+    thread_.loop().RunAt(thread_.loop().now() + milliseconds(30),
+                         [this] { CheckStallsRepeatedly(); });
+  }
+};
+
+TEST_F(EndlessStreamTest, AnEventWithoutEndAfterTheFirst) {
+  ExpectResumed("id: 0\ndata: a\n\n", std::string(4'096, 'x'));
+}
+
+TEST_F(EndlessStreamTest, AnEventOfManyLinesWithoutEnd) {
+  ExpectResumed("id: 0\ndata: a\n\n", "data: x\n");
+}
+
+TEST_F(EndlessStreamTest, AFirstEventWithoutEnd) {
+  ExpectResumed("id: 1\ndata: ", std::string(4'096, 'x'));
+}
+
+TEST_F(EndlessStreamTest, ASlowEventWithoutEnd) {
+  ExpectResumed("id: 0\ndata: a\n\n", "x", milliseconds(20));
+}
+
+TEST_F(EndlessStreamTest, CommentsWithoutEnd) {
+  ExpectResumed("id: 0\ndata: a\n\n", ": x\n\n", milliseconds(20));
+}
+
+TEST_F(EndlessStreamTest, ASlowFirstEventWithoutEnd) {
+  ExpectResumed("", "x", milliseconds(20));
+}
+
+TEST_F(EndlessStreamTest, ASlowHeadWithoutEnd) {
+  fakes::EndlessServer endless_server("HTTP/1.1 200 OK\r\nX: ", "x",
+                                      milliseconds(20));
+  ScriptedServer good(kOkResponse);
+  Open(RouteKind::kStream, {&endless_server, &good});
+  ScheduleStallChecks();
+  EXPECT_EQ(StatusOf(SendRequest()), 200);
+  EXPECT_EQ(good.requests, 1);
+}
+
 }  // namespace
 }  // namespace sequoialb
--- a/test/correctness/http_client_test.cc
+++ b/test/correctness/http_client_test.cc
@@ -10,6 +10,7 @@
 namespace sequoialb {
 namespace {
 
+using fakes::EndlessServer;
 using fakes::LoopThread;
 using fakes::RawServer;
 
@@ -211,5 +212,63 @@
   EXPECT_EQ(Call({"127.0.0.1", port}, "a").failure, CallFailure::kUnreachable);
 }
 
+// What the sockets of both ends may buffer of an endless answer, besides what
+// the client has read.
+constexpr size_t kSocketBuffers = 16U << 20U;
+
+// Backend servers in trouble send bytes without end that are no answer. The
+// client must close the connection after a bounded number of them.
+class EndlessAnswerTest : public HttpClientTest {
+ protected:
+  void ExpectBroken(const std::string& before, const std::string& piece) {
+    EndlessServer server(before, piece);
+    const Outcome outcome = Call(server.address(), "a");
+    EXPECT_FALSE(outcome.complete);
+    EXPECT_EQ(outcome.failure, CallFailure::kBroken);
+    EXPECT_LT(server.sent, kSocketBuffers);
+  }
+};
+
+TEST_F(EndlessAnswerTest, AStatusLineWithoutEnd) {
+  ExpectBroken("HTTP/1.1 200 ", std::string(4'096, 'x'));
+}
+
+TEST_F(EndlessAnswerTest, AHeaderLineWithoutEnd) {
+  ExpectBroken("HTTP/1.1 200 OK\r\nX: ", std::string(4'096, 'x'));
+}
+
+TEST_F(EndlessAnswerTest, InformationalHeadsWithoutEnd) {
+  ExpectBroken("", "HTTP/1.1 102 Processing\r\n\r\n");
+}
+
+TEST_F(EndlessAnswerTest, AChunkSizeWithoutEnd) {
+  ExpectBroken("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+               std::string(4'096, '0'));
+}
+
+TEST_F(EndlessAnswerTest, TrailersWithoutEnd) {
+  ExpectBroken(
+      "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+      "X-Trailer: 1\r\n");
+}
+
+TEST_F(EndlessAnswerTest, TheBodyOfAnotherAnswerWithoutEnd) {
+  ExpectBroken("HTTP/1.1 200 OK\r\nId: earlier\r\n\r\n",
+               std::string(4'096, 'x'));
+}
+
+TEST_F(EndlessAnswerTest, OtherAnswersWithoutEnd) {
+  ExpectBroken("",
+               "HTTP/1.1 200 OK\r\nId: earlier\r\nContent-Length: 1\r\n\r\nx");
+}
+
+TEST_F(EndlessAnswerTest, BytesAfterTheAnswerEndTheConnection) {
+  EndlessServer server(Answer("a", "whole"), std::string(4'096, 'x'));
+  const Outcome outcome = Call(server.address(), "a");
+  EXPECT_TRUE(outcome.complete);
+  EXPECT_EQ(outcome.body, "whole");
+  EXPECT_LT(server.sent, kSocketBuffers);
+}
+
 }  // namespace
 }  // namespace sequoialb
--- /dev/null
+++ b/test/correctness/item_runner_test.cc
@@ -0,0 +1,167 @@
+// Tests how a front runs batch items at backend servers in trouble: what it
+// returns, and how much it reads and keeps.
+#include "jobs/item_runner.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+#include "../fakes/raw_sockets.h"
+#include "fleet/boot_clock.h"
+#include "observe/log.h"
+#include "platform/gateway_adapter.h"
+
+namespace sequoialb {
+namespace {
+
+using fakes::EndlessServer;
+using fakes::RawServer;
+
+constexpr char kStreamHead[] =
+    "HTTP/1.1 200 OK\r\nRequest-Id: i1\r\n"
+    "Content-Type: text/event-stream\r\n\r\n";
+
+class ItemRunnerTest : public ::testing::Test {
+ protected:
+  static void SetUpTestSuite() { SetLogLevel("error"); }
+
+  void Open(const Address& server) {
+    thread_.Run([&] {
+      front_ =
+          std::make_unique<FrontShared>(thread_.loop(), metrics_, adapter_);
+      Catalog catalog;
+      catalog.version = 1;
+      Route route;
+      route.name = "r";
+      route.host = "h.example";
+      route.path_prefix = "/a/";
+      route.kind = RouteKind::kBatch;
+      route.targets = {{"s", 1}};
+      route.timeout = milliseconds(9'000);
+      catalog.routes = {route};
+      catalog.services = {{"s", "/health", 10, 4}};
+      front_->view.catalog = std::make_shared<CatalogIndex>(catalog);
+      front_->view.authority_until = BootNow() + seconds(60);
+      front_->pool.SetUsable({{"e1", "s", server, true, true, 8, false}});
+      runner_ = std::make_unique<ItemRunner>(
+          *front_, 1, [this](const proto::ItemOutcome& outcome) {
+            outcome_.set_value(outcome);
+          });
+    });
+  }
+
+  void TearDown() override {
+    thread_.Run([this] {
+      closed_ = true;
+      runner_.reset();
+      front_.reset();
+    });
+  }
+
+  // Runs an item that an earlier run left after event 4, and returns how it
+  // ended.
+  proto::ItemOutcome RunItem() {
+    thread_.Run([this] {
+      proto::ItemOffer offer;
+      offer.set_job("j");
+      offer.set_account("a");
+      offer.set_route_host("h.example");
+      offer.mutable_item()->set_id("i1");
+      offer.mutable_item()->set_path("/a/x");
+      offer.set_output("earlier");
+      offer.set_last_event(4);
+      offer.set_has_last_event(true);
+      runner_->AcceptOffer(offer);
+      CheckStallsRepeatedly();
+    });
+    std::future<proto::ItemOutcome> ended = outcome_.get_future();
+    if (ended.wait_for(seconds(30)) != std::future_status::ready) {
+      ADD_FAILURE() << "the item has not ended";
+      return {};
+    }
+    return ended.get();
+  }
+
+  static void ExpectReturnedUnchanged(const proto::ItemOutcome& outcome) {
+    EXPECT_EQ(outcome.kind(), proto::ItemOutcome::kReturned);
+    EXPECT_EQ(outcome.output(), "earlier");
+    EXPECT_EQ(outcome.last_event(), 4U);
+  }
+
+ private:
+  void CheckStallsRepeatedly() {
+    if (closed_) {
+      return;
+    }
+    runner_->CheckStalls();
+    thread_.loop().RunAt(thread_.loop().now() + milliseconds(30),
+                         [this] { CheckStallsRepeatedly(); });
+  }
+
+  platform::GatewayAdapter adapter_;
+  Metrics metrics_;
+  std::promise<proto::ItemOutcome> outcome_;
+  bool closed_ = false;
+  fakes::LoopThread thread_;
+  std::unique_ptr<FrontShared> front_;
+  std::unique_ptr<ItemRunner> runner_;
+};
+
+TEST_F(ItemRunnerTest, AnEventWithoutEndReturnsTheItem) {
+  EndlessServer server(std::string(kStreamHead) + "id: 5\ndata: ",
+                       std::string(4'096, 'x'));
+  Open(server.address());
+  ExpectReturnedUnchanged(RunItem());
+  EXPECT_LT(server.sent, EndlessServer::kMaxBytes);
+}
+
+TEST_F(ItemRunnerTest, SlowBytesThatAreNoEventReturnTheItem) {
+  EndlessServer server(kStreamHead, "x", milliseconds(20));
+  Open(server.address());
+  ExpectReturnedUnchanged(RunItem());
+}
+
+TEST_F(ItemRunnerTest, EventsWithoutIdReturnTheItem) {
+  EndlessServer server(kStreamHead, "data: x\n\n", milliseconds(20));
+  Open(server.address());
+  ExpectReturnedUnchanged(RunItem());
+}
+
+TEST_F(ItemRunnerTest, AnOutputWithoutEndIsDropped) {
+  RawServer server([](Poco::Net::StreamSocket& socket, int) {
+    RawServer::ReadRequest(socket);
+    RawServer::Write(socket, kStreamHead);
+    const std::string data(4'000, 'x');
+    for (int id = 5; id < 5'000; ++id) {
+      RawServer::Write(
+          socket, "id: " + std::to_string(id) + "\ndata: " + data + "\n\n");
+    }
+  });
+  Open(server.address());
+  ExpectReturnedUnchanged(RunItem());
+}
+
+// The status alone says that the attempt failed; its body never ends.
+TEST_F(ItemRunnerTest, AFailureWithABodyWithoutEndIsAFailure) {
+  EndlessServer server("HTTP/1.1 500 Failed\r\nRequest-Id: i1\r\n\r\n", "x",
+                       milliseconds(20));
+  Open(server.address());
+  EXPECT_EQ(RunItem().kind(), proto::ItemOutcome::kFailed);
+}
+
+TEST_F(ItemRunnerTest, AResumedItemCompletes) {
+  RawServer server([](Poco::Net::StreamSocket& socket, int) {
+    const std::string request = RawServer::ReadRequest(socket);
+    EXPECT_NE(request.find("Last-Event-Id: 4\r\n"), std::string::npos);
+    RawServer::Write(socket, std::string(kStreamHead) +
+                                 "id: 5\ndata: five\n\nid: 6\ndata: six\n\n");
+  });
+  Open(server.address());
+  const proto::ItemOutcome outcome = RunItem();
+  EXPECT_EQ(outcome.kind(), proto::ItemOutcome::kComplete);
+  EXPECT_EQ(outcome.output(), "earlier\nfive\nsix");
+  EXPECT_EQ(outcome.last_event(), 6U);
+}
+
+}  // namespace
+}  // namespace sequoialb
--- a/test/fakes/raw_sockets.h
+++ b/test/fakes/raw_sockets.h
@@ -173,4 +173,32 @@
   std::thread thread_;
 };
 
+// A server in trouble: after `before` it sends `piece` again and again until
+// the client closes the connection, or until kMaxBytes, where a client that
+// reads without a limit is considered to have failed.
+class EndlessServer : public RawServer {
+ public:
+  static constexpr size_t kMaxBytes = 64U << 20U;
+
+  EndlessServer(std::string before, const std::string& piece,
+                std::chrono::milliseconds pause = std::chrono::milliseconds(0))
+      : RawServer([this, before = std::move(before), piece, pause](auto& socket,
+                                                                   int) {
+          if (ReadRequest(socket).empty()) {
+            return;
+          }
+          ++requests;
+          Write(socket, before);
+          while (sent < kMaxBytes) {
+            Write(socket, piece);
+            sent += piece.size();
+            std::this_thread::sleep_for(pause);
+          }
+        }) {}
+
+  std::atomic<int> requests{0};
+  // Bytes after `before` that have been handed to the network.
+  std::atomic<size_t> sent{0};
+};
+
 }  // namespace sequoialb::fakes
