Bound what sequoialbd reads of a backend server's answer

Cause: SseParser kept and searched an event without end; a body that came a byte at a time outlived the request's deadline; after the end of a stream the rest of its body was read without limit; the response to an order was read whole.

Change: events of at most 1 MB, the deadline checked with each read, 64 KB after a complete stream, 1 MB of a response to an order, its time limited as a whole.

--- a/src/orders/order_service.cc
+++ b/src/orders/order_service.cc
@@ -5,7 +5,6 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
 
 #include "ledger/command_results.h"
 #include "settings/json_fields.h"
@@ -16,6 +15,8 @@
 constexpr seconds kProposeTimeout{3};
 // An order is sent only if at least this much of the session lease is left.
 constexpr milliseconds kMinLeaseLeft{500};
+// The longest response to an order that is read.
+constexpr size_t kMaxAnswerBytes = 1'048'576;
 
 Result<proto::Backend> FindBackend(Host& host, const std::string& backend) {
   for (const BackendState& state : host.Backends()) {
@@ -61,6 +62,7 @@
 Result<OrderOutcome> Post(const proto::Backend& backend,
                           const std::string& body, Duration timeout) {
   OrderOutcome outcome;
+  const TimePoint deadline = Clock::now() + timeout;
   try {
     Poco::Net::HTTPClientSession session{
         Poco::Net::SocketAddress(backend.address())};
@@ -72,9 +74,16 @@
     request.setContentLength(static_cast<std::streamsize>(body.size()));
     session.sendRequest(request) << body << std::flush;
     Poco::Net::HTTPResponse response;
-    Poco::StreamCopier::copyToString(session.receiveResponse(response),
-                                     outcome.body);
+    std::istream& in = session.receiveResponse(response);
     outcome.http_status = response.getStatus();
+    for (int c = in.get(); c != std::istream::traits_type::eof();
+         c = in.get()) {
+      outcome.body.push_back(static_cast<char>(c));
+      if (outcome.body.size() > kMaxAnswerBytes || Clock::now() >= deadline) {
+        return Fail(ErrorCode::kBackendFailed,
+                    "the response to the order has no end", RunState::kUnknown);
+      }
+    }
   } catch (const Poco::Exception& e) {
     return Fail(ErrorCode::kBackendFailed,
                 "no response to the order: " + e.displayText(),
--- a/src/requests/backend_client.cc
+++ b/src/requests/backend_client.cc
@@ -23,6 +23,9 @@
 constexpr size_t kMaxIdlePerServer = 64;
 constexpr size_t kReadBytes = 16U << 10U;
 constexpr size_t kMaxBodyBytes = 16U << 20U;
+// Bytes that are read after the end of a stream so that its connection can be
+// reused; a server that sends more loses the connection.
+constexpr size_t kMaxTrailingBytes = 65'536;
 constexpr int kFirstServerError = 500;
 constexpr int kFirstClientError = 400;
 
@@ -46,6 +49,20 @@
   ::shutdown(socket.impl()->sockfd(), SHUT_RDWR);
 }
 
+// Reads the end of a chunked body whose content is complete, so that the
+// connection can be reused. Returns false when the end does not come.
+bool SkipToEnd(std::istream& body, TimePoint deadline) {
+  for (size_t skipped = 0; skipped < kMaxTrailingBytes; ++skipped) {
+    if (body.get() == std::istream::traits_type::eof()) {
+      return true;
+    }
+    if (Clock::now() >= deadline) {
+      return false;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 void BackendClient::SetBlockedDomains(std::vector<std::string> domains) {
@@ -174,7 +191,12 @@
           std::max<int64_t>(1, RemainingMs(Clock::now(), begin)));
     }
     const std::string_view bytes(buffer.data(), static_cast<size_t>(count));
-    if (streamed) {
+    if (Clock::now() >= request.deadline) {
+      // Each read is limited by the deadline, but a server may send a byte at a
+      // time without end.
+      broken = true;
+      result.detail = "the answer did not end before the deadline";
+    } else if (streamed) {
       whole = !on_bytes(bytes, broken);
     } else if (result.body.size() + bytes.size() > kMaxBodyBytes) {
       broken = true;
@@ -194,9 +216,8 @@
     result.outcome = AttemptOutcome::kBroken;
   } else {
     result.outcome = AttemptOutcome::kComplete;
-    // Read the end of the chunked body before the connection is reused.
-    body.ignore(std::numeric_limits<std::streamsize>::max());
-    reusable = response.getKeepAlive() && session.networkException() == nullptr;
+    reusable = response.getKeepAlive() && SkipToEnd(body, request.deadline) &&
+               session.networkException() == nullptr;
   }
 }
 
--- a/src/requests/chat_runner.cc
+++ b/src/requests/chat_runner.cc
@@ -108,7 +108,7 @@
       run.on_text(chunk->text);
     }
   }
-  if (run.cancelled && run.cancelled()) {
+  if (parser.too_long() || (run.cancelled && run.cancelled())) {
     broken = true;
     return false;
   }
--- a/src/requests/sse_parser.cc
+++ b/src/requests/sse_parser.cc
@@ -35,6 +35,7 @@
 void SseParser::Feed(std::string_view bytes) {
   if (start_ > 0) {
     buffer_.erase(0, start_);
+    searched_ -= start_;
     start_ = 0;
   }
   buffer_.append(bytes);
@@ -42,15 +43,19 @@
 
 std::optional<std::string> SseParser::Next() {
   while (true) {
-    const size_t plain = buffer_.find("\n\n", start_);
-    const size_t carriage = buffer_.find("\n\r\n", start_);
+    const size_t plain = buffer_.find("\n\n", searched_);
+    const size_t carriage = buffer_.find("\n\r\n", searched_);
     const size_t end = std::min(plain, carriage);
     if (end == std::string::npos) {
+      // The last two bytes may belong to an end that is not complete.
+      searched_ = std::max(
+          start_, buffer_.size() - std::min<size_t>(2, buffer_.size()));
       return std::nullopt;
     }
     const std::string data =
         DataOf({buffer_.data() + start_, end + 1 - start_});
     start_ = end + (end == plain ? 2 : 3);
+    searched_ = start_;
     if (!data.empty()) {
       return data;
     }
--- a/src/requests/sse_parser.h
+++ b/src/requests/sse_parser.h
@@ -17,9 +17,19 @@
   // yet. Comments, other fields and empty events are skipped.
   std::optional<std::string> Next();
 
+  // Returns whether the incomplete event is longer than any real one, as when a
+  // server in trouble sends bytes without end. Call when Next() returns
+  // nothing.
+  bool too_long() const { return buffer_.size() - start_ > kMaxEventBytes; }
+
+  static constexpr size_t kMaxEventBytes = 1'048'576;
+
  private:
   std::string buffer_;
+  // Where the next event begins.
   size_t start_ = 0;
+  // Up to where its end has been searched for.
+  size_t searched_ = 0;
 };
 
 }  // namespace sequoialb
--- /dev/null
+++ b/test/correctness/backend_client_test.cc
@@ -0,0 +1,65 @@
+// Tests one attempt at a backend server that sends bytes without end.
+#include "requests/backend_client.h"
+
+#include <gtest/gtest.h>
+
+#include "../fakes/raw_sockets.h"
+
+namespace sequoialb {
+namespace {
+
+using fakes::EndlessServer;
+
+constexpr char kChunkedHead[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+class BackendClientTest : public ::testing::Test {
+ protected:
+  AttemptResult Run(const Address& address,
+                    const BackendClient::StreamHandler& on_bytes = nullptr) {
+    proto::Backend backend;
+    backend.set_id("e1");
+    backend.set_address(address.ToString());
+    const auto lease = std::make_shared<SlotLease>("d", 1, backend);
+    AttemptRequest request;
+    request.path = "/v1/chat/completions";
+    request.deadline = Clock::now() + seconds(3);
+    return client_.Run(lease, request, on_bytes);
+  }
+
+  BackendClient client_;
+};
+
+TEST_F(BackendClientTest, ABodyWithoutEndIsBroken) {
+  EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", std::string(4'096, 'x'));
+  EXPECT_EQ(Run(server.address()).outcome, AttemptOutcome::kBroken);
+  EXPECT_LT(server.sent, EndlessServer::kMaxBytes);
+}
+
+TEST_F(BackendClientTest, ASlowBodyWithoutEndIsBrokenAtTheDeadline) {
+  EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", "x", milliseconds(20));
+  const AttemptResult result = Run(server.address());
+  EXPECT_EQ(result.outcome, AttemptOutcome::kBroken);
+  EXPECT_EQ(result.detail, "the answer did not end before the deadline");
+}
+
+TEST_F(BackendClientTest, HeaderFieldsWithoutEndAreBroken) {
+  EndlessServer server("HTTP/1.1 200 OK\r\n", "X: y\r\n");
+  EXPECT_EQ(Run(server.address()).outcome, AttemptOutcome::kBroken);
+  EXPECT_LT(server.sent, EndlessServer::kMaxBytes);
+}
+
+// The stream's content is complete, but its chunked body goes on.
+TEST_F(BackendClientTest, BytesAfterACompleteStreamDoNotHoldTheCaller) {
+  EndlessServer server(std::string(kChunkedHead) + "3\r\nend\r\n",
+                       "3\r\nxxx\r\n");
+  const AttemptResult result =
+      Run(server.address(), [](std::string_view bytes, bool& /*broken*/) {
+        return bytes.find("end") == std::string_view::npos;
+      });
+  EXPECT_EQ(result.outcome, AttemptOutcome::kComplete);
+  EXPECT_LT(server.sent, EndlessServer::kMaxBytes);
+}
+
+}  // namespace
+}  // namespace sequoialb
--- a/test/correctness/requests_test.cc
+++ b/test/correctness/requests_test.cc
@@ -64,6 +64,22 @@
   }
 }
 
+// A server in trouble sends an event without end. Its bytes are searched once,
+// whatever the size of the pieces, and the parser says when to give up.
+TEST(SseParserTest, ReportsAnEventWithoutEnd) {
+  SseParser parser;
+  parser.Feed("data: first\n\n");
+  EXPECT_TRUE(parser.Next().has_value());
+  size_t fed = 0;
+  while (!parser.too_long()) {
+    ASSERT_LE(fed, 2 * SseParser::kMaxEventBytes);
+    parser.Feed("data: x\n");
+    fed += 8;
+    EXPECT_FALSE(parser.Next().has_value());
+  }
+  EXPECT_GE(fed, SseParser::kMaxEventBytes);
+}
+
 TEST(StreamSplicerTest, DropsDuplicatesAndReportsGaps) {
   StreamSplicer splicer;
   EXPECT_EQ(splicer.Append(0, "a"), StreamSplicer::AppendResult::kAppended);
