Keep the sum of the fronts' load reports by server

Ruled out: a cache of the sums by time, which is stale within the same millisecond that a burst is placed in.

Change: PeerLoads adds and subtracts a report when it arrives or expires, so a choice costs one look-up a server.

--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -447,7 +447,7 @@
         }
         const uint32_t waiting = message.front_load().waiting();
         loop_.Post([this, from, waiting, requests = std::move(requests)] {
-          front_->pool.RecordPeerLoad(from, requests, waiting, loop_.now());
+          front_->pool.RecordPeerLoad(from, {requests, waiting}, loop_.now());
         });
       }
       return;
--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -12,15 +12,9 @@
 // weight that falls to zero at kReportExpiry.
 constexpr milliseconds kReportFresh{50};
 constexpr milliseconds kReportExpiry{1'500};
-// The load report of another front counts for this long. Fronts send one at
-// least every 200 ms.
-constexpr milliseconds kPeerReportMaxAge{600};
 // Slots that batch items leave free on all assigned servers together, for
 // online requests that arrive while an item is being stopped.
 constexpr double kItemReserve = 2;
-// For this long after a load report, batch items leave free the slots that
-// online requests of the reporting front wait for.
-constexpr milliseconds kPeerWaitingMaxAge{300};
 // A failing server gets no new requests for this long, doubled with each
 // further failure.
 constexpr milliseconds kInitialBackoff{250};
@@ -53,22 +47,16 @@
 }
 
 double BackendPool::RequestsOfOthers(const Load& load, TimePoint now) const {
-  double peer_requests = 0;
-  size_t fresh_peers = 0;
-  for (const auto& [front, peer] : front_loads_) {
-    if (now - peer.reported_at > kPeerReportMaxAge) {
-      continue;
-    }
-    ++fresh_peers;
-    const auto found = peer.requests.find(load.backend.id);
-    peer_requests += found == peer.requests.end() ? 0 : found->second;
-  }
+  peer_loads_.Expire(now);
+  const double peer_requests = peer_loads_.RequestsAt(load.backend.id);
   const auto age = now - load.reported_at;
   double reported = load.others;
   if (age > kReportFresh) {
     const double weight = ToSeconds(kReportExpiry - age) /
                           ToSeconds(kReportExpiry - kReportFresh);
-    reported = fresh_peers >= peers_ ? 0 : load.others * std::max(0.0, weight);
+    reported = peer_loads_.fronts() >= peers_
+                   ? 0
+                   : load.others * std::max(0.0, weight);
   }
   return std::max(peer_requests, reported);
 }
@@ -145,18 +133,14 @@
   return Choice{chosen.backend.id, chosen.backend.address, false};
 }
 
-void BackendPool::RecordPeerLoad(const std::string& front,
-                                 std::map<std::string, uint32_t> requests,
-                                 uint32_t waiting, TimePoint now) {
-  front_loads_[front] = {now, std::move(requests), waiting};
+void BackendPool::RecordPeerLoad(const std::string& source, LoadReport report,
+                                 TimePoint now) {
+  peer_loads_.Record(source, std::move(report), now);
 }
 
 // The slots that a front waits for are divided equally among its peers.
 double BackendPool::ItemReserve(TimePoint now) const {
-  double wanted = 0;
-  for (const auto& [front, peer] : front_loads_) {
-    wanted += now - peer.reported_at <= kPeerWaitingMaxAge ? peer.waiting : 0;
-  }
+  const double wanted = peer_loads_.Waiting(now);
   return kItemReserve +
          std::ceil(wanted / static_cast<double>(std::max<size_t>(1, peers_)));
 }
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -33,6 +33,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "gateway/peer_loads.h"
 #include "gateway/protocol.h"
 #include "gateway/spread_policy.h"
 #include "settings/settings.h"
@@ -86,8 +87,8 @@
   // Counts the end of a request of this front. `streaming` says whether bytes
   // of its answer had been received.
   void RecordEnded(const std::string& backend, bool item, bool streaming);
-  // Records that bytes of an answer have been received; `first` says whether
-  // they were the first bytes of that answer.
+  // Records that a part of an answer has been received; `first` says whether it
+  // was the first part of that answer.
   void RecordProgress(const std::string& backend, bool first, TimePoint now);
   // Returns whether all answers that the server has begun for this front have
   // stalled.
@@ -96,11 +97,9 @@
   // Records the load that a server reported with an answer.
   void RecordServerLoad(const std::string& backend, const BackendLoad& load,
                         TimePoint now);
-  // Records the load report of another front: its requests in progress, by
-  // server, and how many online requests wait there for a slot.
-  void RecordPeerLoad(const std::string& front,
-                      std::map<std::string, uint32_t> requests,
-                      uint32_t waiting, TimePoint now);
+  // Records the load report of another front or failure domain.
+  void RecordPeerLoad(const std::string& source, LoadReport report,
+                      TimePoint now);
   // Returns the assigned servers at which batch items must be stopped because
   // online requests of other fronts wait for slots; a server appears once for
   // each item to stop there.
@@ -113,6 +112,12 @@
   void SetPeers(size_t peers) { peers_ = peers; }
   // Returns how many requests this front has in progress, by server.
   std::map<std::string, uint32_t> OwnRequests() const;
+  // Returns the sum of the current load reports of the given fronts.
+  template <typename Fronts>
+  LoadReport SumOfReports(const Fronts& fronts, TimePoint now) {
+    peer_loads_.Expire(now);
+    return peer_loads_.Sum(fronts);
+  }
 
   // Records that the server refused a request because it was full.
   void RecordFull(const std::string& backend, TimePoint now);
@@ -134,9 +139,9 @@
     uint32_t items = 0;
     // Online requests and batch items of this front whose answers have begun.
     uint32_t streaming = 0;
-    // When bytes of any of those answers were last received.
+    // When a part of any of those answers was last received.
     TimePoint last_progress_at;
-    // Moving average of the time between received bytes, over all those answers
+    // Moving average of the time between received parts, over all those answers
     // together.
     Duration mean_gap{0};
     // Requests of others, according to the server's last report.
@@ -158,12 +163,6 @@
   };
   static Tier TierOf(const Load& load);
 
-  struct Peer {
-    TimePoint reported_at;
-    std::map<std::string, uint32_t> requests;
-    uint32_t waiting = 0;
-  };
-
   // Returns how many slots batch items leave free on all assigned servers
   // together.
   double ItemReserve(TimePoint now) const;
@@ -179,7 +178,8 @@
   std::mt19937_64 random_;
   SpreadPolicy spread_;
   std::map<std::string, Load> loads_;
-  std::map<std::string, Peer> front_loads_;
+  // Reading it at a later time drops reports that have become too old.
+  mutable PeerLoads peer_loads_;
   size_t peers_ = 0;
 };
 
--- a/test/correctness/gateway_decisions_test.cc
+++ b/test/correctness/gateway_decisions_test.cc
@@ -77,7 +77,7 @@
   BackendPool pool;
   pool.SetUsable({Server("a", true, false), Server("b", true, false)});
   pool.SetPeers(1);
-  pool.RecordPeerLoad("front-2", {{"a", 7}}, 0, At(0));
+  pool.RecordPeerLoad("front-2", {{{"a", 7}}, 0}, At(0));
   for (int i = 0; i < 7; ++i) {
     const auto choice = pool.ChooseOnline("s", {}, At(30));
     ASSERT_TRUE(choice.has_value());
@@ -101,7 +101,7 @@
     pool.RecordSent("h2", i < 3);
   }
   EXPECT_TRUE(pool.ItemsToStop(At(0)).empty());
-  pool.RecordPeerLoad("front-2", {}, 8, At(0));
+  pool.RecordPeerLoad("front-2", {{}, 8}, At(0));
   // Eight requests wait and two peers share them, so this front must free four
   // slots besides its usual reserve of two. Two slots are already free.
   const auto to_stop = pool.ItemsToStop(At(10));
--- a/test/correctness/spread_test.cc
+++ b/test/correctness/spread_test.cc
@@ -84,7 +84,7 @@
     int ends_ms;
   };
 
-  struct LoadReport {
+  struct SentReport {
     int front;
     std::map<std::string, uint32_t> requests;
     int arrives_ms;
@@ -102,11 +102,11 @@
     }
   }
 
-  void DeliverReport(const LoadReport& report) {
+  void DeliverReport(const SentReport& report) {
     for (int other = 0; other < kFronts; ++other) {
       if (other != report.front) {
         pools_[static_cast<size_t>(other)].RecordPeerLoad(
-            "f" + std::to_string(report.front), report.requests, 0, now_);
+            "f" + std::to_string(report.front), {report.requests}, now_);
       }
     }
   }
@@ -129,7 +129,7 @@
   std::deque<BackendPool> pools_;
   std::map<std::string, uint32_t> busy_;
   std::deque<Sent> under_way_;
-  std::deque<LoadReport> reports_;
+  std::deque<SentReport> reports_;
   Outcome outcome_;
 };
 
