Exchange load reports between failure domains through one front of each

Cause: each front sent its load reports to each other front, 30 to 200 ms apart: on the large site 66 x 53 messages a round between failure domains, and a link with its buffers to every other front.

Ruled out: reports through one front inside a failure domain as well, which delay the load of servers that fronts share most; rarer reports, which leave the links.

A front reports to the fronts of its domain; one of them, the relay, adds the reports up and exchanges the sums with the relays of the other domains.

--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -12,15 +12,6 @@
 constexpr milliseconds kControlTickInterval{20};
 constexpr milliseconds kItemReportInterval{100};
 constexpr milliseconds kSummaryInterval{1'000};
-// Fronts report the load that they put on backend servers to each other: when
-// it has changed, at most once per minimum interval, and without a change once
-// per maximum interval.
-constexpr milliseconds kMinLoadReportInterval{30};
-constexpr milliseconds kMaxLoadReportInterval{200};
-// Fronts of other failure domains use this front's servers only when their own
-// are full. While this front's servers have free slots, only one in this many
-// load reports goes to other domains, because most of the bytes cross domains.
-constexpr uint64_t kRemoteLoadReportStride = 4;
 // The authority lease ends this long before a withdrawn API key must have
 // stopped working, because clocks of different hosts run at different rates.
 constexpr milliseconds kWithdrawalMargin{250};
@@ -172,7 +163,23 @@
     gateway_ =
         std::make_unique<Gateway>(*front_, *rate_limiter_, std::move(hooks));
     loop_.RunAt(loop_.now() + kItemReportInterval, [this] { ReportItems(); });
-    loop_.RunAt(loop_.now() + kMinLoadReportInterval, [this] { ReportLoad(); });
+    proto::LiveFront self;
+    self.set_host(settings_.host);
+    self.set_failure_domain(settings_.failure_domain);
+    load_reporter_ = std::make_unique<LoadReporter>(
+        front_->pool, std::move(self),
+        [this](const std::vector<std::string>& hosts,
+               const proto::FrontLoad& report) {
+          PostControl([this, hosts, report] {
+            proto::FleetMessage message;
+            *message.mutable_front_load() = report;
+            for (const std::string& host : hosts) {
+              links_->Send(host, message);
+            }
+          });
+        });
+    loop_.RunAt(loop_.now() + LoadReporter::kInterval,
+                [this] { ReportLoad(); });
   }
   return {};
 }
@@ -311,7 +318,9 @@
     backend.cold = record.cold_left_ms() > 0;
     usable.push_back(std::move(backend));
   }
-  loop_.Post([this, usable, count = all_fronts.size()] {
+  loop_.Post([this, usable, count = all_fronts.size(),
+              live = member_->last_confirmed_reply().live_fronts()] {
+    load_reporter_->SetFronts(live);
     front_->pool.SetUsable(usable);
     rate_limiter_->SetFronts(count);
     front_->pool.SetPeers(count > 0 ? count - 1 : 0);
@@ -441,13 +450,8 @@
       return;
     case proto::FleetMessage::kFrontLoad:
       if (front_ != nullptr) {
-        std::map<std::string, uint32_t> requests;
-        for (const auto& entry : message.front_load().loads()) {
-          requests[entry.backend()] = entry.requests();
-        }
-        const uint32_t waiting = message.front_load().waiting();
-        loop_.Post([this, from, waiting, requests = std::move(requests)] {
-          front_->pool.RecordPeerLoad(from, {requests, waiting}, loop_.now());
+        loop_.Post([this, from, report = message.front_load()] {
+          load_reporter_->OnReport(from, report, loop_.now());
         });
       }
       return;
@@ -525,41 +529,13 @@
 
 void FleetHost::ReportLoad() {
   const TimePoint now = loop_.now();
-  loop_.RunAt(now + kMinLoadReportInterval, [this] { ReportLoad(); });
+  loop_.RunAt(now + LoadReporter::kInterval, [this] { ReportLoad(); });
   gateway_->CheckStalls();
   item_runner_->CheckStalls();
   for (const std::string& backend : front_->pool.ItemsToStop(now)) {
     item_runner_->StopOneAt(backend);
   }
-  const auto waiting = static_cast<uint32_t>(gateway_->waiting());
-  std::map<std::string, uint32_t> own_requests = front_->pool.OwnRequests();
-  if (own_requests == last_sent_load_ && waiting == last_sent_waiting_ &&
-      now < last_load_report_at_ + kMaxLoadReportInterval) {
-    return;
-  }
-  last_sent_load_ = own_requests;
-  last_sent_waiting_ = waiting;
-  last_load_report_at_ = now;
-  const bool include_remote =
-      waiting > 0 || front_->pool.AssignedServersFull(now) ||
-      load_reports_with_free_slots_++ % kRemoteLoadReportStride == 0;
-  PostControl([this, waiting, include_remote,
-               own_requests = std::move(own_requests)] {
-    proto::FleetMessage message;
-    proto::FrontLoad& load = *message.mutable_front_load();
-    load.set_waiting(waiting);
-    for (const auto& [backend, requests] : own_requests) {
-      auto& entry = *load.add_loads();
-      entry.set_backend(backend);
-      entry.set_requests(requests);
-    }
-    for (const auto& front : member_->last_confirmed_reply().live_fronts()) {
-      const bool local = front.failure_domain() == settings_.failure_domain;
-      if (front.host() != settings_.host && (local || include_remote)) {
-        links_->Send(front.host(), message);
-      }
-    }
-  });
+  load_reporter_->Tick(static_cast<uint32_t>(gateway_->waiting()), now);
 }
 
 void FleetHost::OnFrontRequest(const std::shared_ptr<HttpExchange>& exchange) {
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -21,6 +21,7 @@
 #include "fleet/control_service.h"
 #include "fleet/fleet_member.h"
 #include "fleet/fleet_settings.h"
+#include "fleet/load_reporter.h"
 #include "gateway/gateway.h"
 #include "gateway/rate_limiter.h"
 #include "http/http_server.h"
@@ -93,6 +94,7 @@
   std::unique_ptr<RateLimiter> rate_limiter_;
   std::unique_ptr<Gateway> gateway_;
   std::unique_ptr<ItemRunner> item_runner_;
+  std::unique_ptr<LoadReporter> load_reporter_;
   std::unique_ptr<JobHandler> job_handler_;
   std::unique_ptr<ControlHttpHandler> control_http_handler_;
   std::unique_ptr<HttpServer> front_server_;
@@ -100,10 +102,6 @@
   std::unique_ptr<HttpServer> control_server_;
   std::unique_ptr<HttpServer> metrics_server_;
   bool dispatch_scheduled_ = false;
-  std::map<std::string, uint32_t> last_sent_load_;
-  uint32_t last_sent_waiting_ = 0;
-  TimePoint last_load_report_at_;
-  uint64_t load_reports_with_free_slots_ = 0;
   TimePoint next_summary_at_;
 
   // Tasks posted to the control thread.
