Send hosts only the changes of the directory and of the list of fronts

Cause: each change of one host sent the whole directory to all hosts by all control hosts, each confirmed reply to a front listed all live fronts (2 KB four times a second to each of 66 fronts), and each heartbeat hashed the directory anew: a control host used 0.112 of its 0.3 cores with 101 hosts.

Ruled out: rarer heartbeats, on which the authority lease depends.

Change: entries carry the number of their last change and a heartbeat the number it knows, as the registry of servers does; the list of live fronts is made once a tick and left out when the heartbeat names its hash; the hash is kept until a change. A reply that a later one has overtaken does not change the directory, since the later one has marked its contents as known. Hosts of the previous version get whole lists as before.

--- a/src/fleet/control_service.cc
+++ b/src/fleet/control_service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/hash.h"
 #include "fleet/boot_clock.h"
 #include "observe/log.h"
 
@@ -114,10 +115,11 @@
     reply.set_catalog(state_.catalog());
   }
   reply.set_directory_hash(directory_.Hash());
+  reply.set_directory_cursor(directory_.cursor());
   if (reply.directory_hash() != hello.directory_hash()) {
-    for (const auto& [host, known] : directory_.hosts()) {
-      *reply.add_hosts() = known.info;
-    }
+    const bool same_process =
+        hello.registry_incarnation() == options_.self.incarnation();
+    directory_.FillChanges(same_process ? hello.directory_cursor() : 0, reply);
   }
   if (hello.wants_backends()) {
     registry_.FillChanges(hello.registry_incarnation(), hello.registry_cursor(),
@@ -135,14 +137,27 @@
   if (!hello.info().front()) {
     return;
   }
+  reply.set_live_fronts_hash(live_fronts_hash_);
+  if (hello.live_fronts_hash() == live_fronts_hash_) {
+    reply.set_live_fronts_unchanged(true);
+  } else {
+    *reply.mutable_live_fronts() = live_fronts_;
+  }
+}
+
+void ControlService::UpdateLiveFronts(TimePoint now) {
+  live_fronts_.Clear();
+  std::string text;
   for (const auto& [host, known] : directory_.hosts()) {
     if (known.info.front() && !known.info.leaving() &&
         now - known.last_contact < kFrontTimeout) {
-      proto::LiveFront& front = *reply.add_live_fronts();
+      proto::LiveFront& front = *live_fronts_.Add();
       front.set_host(host);
       front.set_failure_domain(known.info.failure_domain());
+      text += host + " " + known.info.failure_domain() + "\n";
     }
   }
+  live_fronts_hash_ = Hash64(text);
 }
 
 void ControlService::OnRaftMessage(const proto::RaftMessage& message,
@@ -243,6 +258,7 @@
     MaybeBootstrapControlGroup(now);
   }
   directory_.Expire(now);
+  UpdateLiveFronts(now);
   registry_.Expire(now);
   RetryCalls(now);
   UpdateRateOwnership(now);
--- a/src/fleet/control_service.h
+++ b/src/fleet/control_service.h
@@ -87,6 +87,7 @@
   ControlService(ControlOptions options, HostLinks& links, Metrics& metrics);
   void FillReply(const proto::HostHello& hello, proto::HelloReply& reply,
                  TimePoint now) const;
+  void UpdateLiveFronts(TimePoint now);
   void MaybeBootstrapControlGroup(TimePoint now);
   void MaybeBootstrapStoreGroup(TimePoint now);
   std::map<std::string, GroupCandidate> Candidates(bool control,
@@ -110,6 +111,10 @@
   BackendRegistry registry_;
   std::unique_ptr<ConsensusGroup> group_;
   HostDirectory directory_;
+  // The fronts whose heartbeats arrive and that are not leaving, as of the last
+  // tick.
+  google::protobuf::RepeatedPtrField<proto::LiveFront> live_fronts_;
+  uint64_t live_fronts_hash_ = 0;
   bool bootstrap_pending_ = false;
   bool stores_proposed_ = false;
   TimePoint stores_changed_at_;
--- a/src/fleet/fleet_member.cc
+++ b/src/fleet/fleet_member.cc
@@ -71,6 +71,8 @@
     const ControlHostState state =
         known == control_hosts_.end() ? ControlHostState{} : known->second;
     hello.set_directory_hash(state.directory_hash);
+    hello.set_directory_cursor(state.directory_cursor);
+    hello.set_live_fronts_hash(last_confirmed_reply_.live_fronts_hash());
     hello.set_registry_incarnation(state.registry_incarnation);
     hello.set_registry_cursor(state.registry_cursor);
     // Set as late as possible, because the authority lease starts at this time.
@@ -93,16 +95,26 @@
   ControlHostState& state = control_hosts_[from];
   state.registry_incarnation = reply.registry_incarnation();
   state.registry_cursor = reply.registry_cursor();
-  if (reply.directory_hash() != state.directory_hash) {
-    state.directory_hash = reply.directory_hash();
-    UpdateHosts(reply);
+  // A reply that was overtaken by a later one must not replace newer contents
+  // that the later one has marked as known.
+  const TimePoint asked_at = FromMicros(reply.sent_at_us());
+  const bool overtaken = asked_at < state.asked_at;
+  if (!overtaken) {
+    state.asked_at = asked_at;
+    state.directory_cursor = reply.directory_cursor();
+    if (reply.directory_hash() != state.directory_hash) {
+      state.directory_hash = reply.directory_hash();
+      UpdateHosts(reply);
+    }
   }
   if (reply.confirmed()) {
     leader_host_ = from;
-    last_confirmed_reply_.Clear();
     *last_confirmed_reply_.mutable_store_founders() = reply.store_founders();
     *last_confirmed_reply_.mutable_retiring_hosts() = reply.retiring_hosts();
-    *last_confirmed_reply_.mutable_live_fronts() = reply.live_fronts();
+    if (!reply.live_fronts_unchanged() && !overtaken) {
+      *last_confirmed_reply_.mutable_live_fronts() = reply.live_fronts();
+      last_confirmed_reply_.set_live_fronts_hash(reply.live_fronts_hash());
+    }
   }
   bool changed = false;
   for (const proto::BackendRecord& record : reply.backends()) {
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -74,6 +74,9 @@
   // that replies contain only changes.
   struct ControlHostState {
     uint64_t directory_hash = 0;
+    uint64_t directory_cursor = 0;
+    // When the heartbeat of the last reply was sent.
+    TimePoint asked_at;
     uint64_t registry_incarnation = 0;
     uint64_t registry_cursor = 0;
   };
--- a/src/fleet/host_directory.cc
+++ b/src/fleet/host_directory.cc
@@ -11,6 +11,13 @@
 // heartbeats.
 constexpr milliseconds kRejectEarlierFor{500};
 
+// What the other hosts have to know of a host.
+std::string SharedText(const proto::HostInfo& info) {
+  return info.host() + " " + info.peer_address() + " " + info.node() + " " +
+         std::to_string(info.incarnation()) + " " + info.group().leader_host() +
+         (info.group().member() ? " member\n" : "\n");
+}
+
 }  // namespace
 
 bool HostDirectory::Update(const proto::HostInfo& info, TimePoint now) {
@@ -19,6 +26,10 @@
       now - entry.last_contact < kRejectEarlierFor) {
     return false;
   }
+  if (entry.change == 0 || SharedText(entry.info) != SharedText(info)) {
+    entry.change = ++change_;
+    hash_.reset();
+  }
   entry.info = info;
   entry.last_contact = now;
   return true;
@@ -26,20 +37,33 @@
 
 void HostDirectory::Expire(TimePoint now) {
   for (auto it = hosts_.begin(); it != hosts_.end();) {
-    const bool expired = now - it->second.last_contact > kExpireAfter;
-    it = expired ? hosts_.erase(it) : std::next(it);
+    if (now - it->second.last_contact > kExpireAfter) {
+      it = hosts_.erase(it);
+      hash_.reset();
+    } else {
+      ++it;
+    }
   }
 }
 
 uint64_t HostDirectory::Hash() const {
-  std::string text;
+  if (!hash_) {
+    std::string text;
+    for (const auto& [host, entry] : hosts_) {
+      text += SharedText(entry.info);
+    }
+    hash_ = Hash64(text);
+  }
+  return *hash_;
+}
+
+void HostDirectory::FillChanges(uint64_t cursor,
+                                proto::HelloReply& reply) const {
   for (const auto& [host, entry] : hosts_) {
-    text += host + " " + entry.info.peer_address() + " " + entry.info.node() +
-            " " + std::to_string(entry.info.incarnation()) + " " +
-            entry.info.group().leader_host() +
-            (entry.info.group().member() ? " member\n" : "\n");
+    if (entry.change > cursor) {
+      *reply.add_hosts() = entry.info;
+    }
   }
-  return Hash64(text);
 }
 
 }  // namespace sequoialb
--- a/test/correctness/fleet_test.cc
+++ b/test/correctness/fleet_test.cc
@@ -106,6 +106,47 @@
   EXPECT_TRUE(UsableIds(directory, kNow).empty());
 }
 
+proto::HostInfo HostNamed(const std::string& host, uint64_t incarnation) {
+  proto::HostInfo info;
+  info.set_host(host);
+  info.set_peer_address("10.0.0.1:1");
+  info.set_incarnation(incarnation);
+  return info;
+}
+
+// Three hundred hosts join one after the other while all send heartbeats. Each
+// must be sent to each host once, not with every later change.
+TEST(HostDirectory, SendsAHostOnceForEachChange) {
+  constexpr int kHosts = 300;
+  HostDirectory directory;
+  std::vector<uint64_t> cursors;
+  size_t sent = 0;
+  for (int i = 0; i < kHosts; ++i) {
+    directory.Update(HostNamed("h" + std::to_string(i), 1), kNow);
+    cursors.push_back(0);
+    for (uint64_t& cursor : cursors) {
+      proto::HelloReply reply;
+      directory.FillChanges(cursor, reply);
+      cursor = directory.cursor();
+      sent += static_cast<size_t>(reply.hosts_size());
+    }
+  }
+  EXPECT_EQ(sent, static_cast<size_t>(kHosts) * kHosts);
+  // A heartbeat without news changes nothing.
+  directory.Update(HostNamed("h7", 1), kNow + seconds(1));
+  proto::HelloReply quiet;
+  directory.FillChanges(cursors[0], quiet);
+  EXPECT_EQ(quiet.hosts_size(), 0);
+  // A restart is one change.
+  const uint64_t hash = directory.Hash();
+  directory.Update(HostNamed("h7", 2), kNow + seconds(1));
+  proto::HelloReply restarted;
+  directory.FillChanges(cursors[0], restarted);
+  ASSERT_EQ(restarted.hosts_size(), 1);
+  EXPECT_EQ(restarted.hosts(0).host(), "h7");
+  EXPECT_NE(directory.Hash(), hash);
+}
+
 Catalog SmallCatalog() {
   Catalog catalog;
   catalog.version = 3;
