--- a/test/correctness/gateway_test.cc
+++ b/test/correctness/gateway_test.cc
@@ -233,6 +233,9 @@
 
  private:
   void CheckStallsRepeatedly() {
+    if (gateway_ == nullptr) {
+      return;
+    }
     gateway_->CheckStalls();
     thread_.loop().RunAt(thread_.loop().now() + milliseconds(30),
                          [this] { CheckStallsRepeatedly(); });
