Tell callers without a confirmed configuration when the front will serve

A caller retries once, so those sent back too early were refused again and lost.

Change: authority_policy.h derives the delay from the phase of the recovery (no control host has answered, one has, the lease ended while the front ran), and draws it up to the longest delay that leaves time to answer, so that the callers of an outage return over a time as long as the outage.

--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -236,7 +236,14 @@
   callbacks.on_authority_lease = [this](TimePoint until) {
     loop_.Post([this, until] {
       if (front_ != nullptr) {
-        front_->view.authority_until = until;
+        front_->view.authority.lease_until = until;
+      }
+    });
+  };
+  callbacks.on_contact = [this](TimePoint at) {
+    loop_.Post([this, at] {
+      if (front_ != nullptr) {
+        front_->view.authority.contact_at = at;
       }
     });
   };
--- a/src/fleet/fleet_member.cc
+++ b/src/fleet/fleet_member.cc
@@ -91,6 +91,7 @@
   if (!in_contact_) {
     in_contact_ = true;
     LogInfo("control_found", {{"host", from}});
+    callbacks_.on_contact(now);
   }
   ControlHostState& state = control_hosts_[from];
   state.registry_incarnation = reply.registry_incarnation();
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -40,6 +40,9 @@
     // left of its authority lease then stay valid.
     std::function<bool(uint64_t version, const std::string& content)>
         on_catalog;
+    // A control host has answered at `at`, the first one since the start or a
+    // loss of contact.
+    std::function<void(TimePoint at)> on_contact;
     // The authority lease now ends at `until`, on the clock of BootNow.
     std::function<void(TimePoint until)> on_authority_lease;
     // A backend server was added, changed or deregistered.
--- a/src/gateway/front_view.h
+++ b/src/gateway/front_view.h
@@ -9,6 +9,7 @@
 #include "base/hash.h"
 #include "catalog/catalog.h"
 #include "fleet/boot_clock.h"
+#include "gateway/authority_policy.h"
 #include "gateway/backend_pool.h"
 #include "http/http_client.h"
 #include "observe/metrics.h"
@@ -19,15 +20,15 @@
 // it as a whole, and never with an older one.
 struct FrontView {
   std::shared_ptr<const CatalogIndex> catalog;
-  // When the front's authority lease ends, on the clock of BootNow.
-  TimePoint authority_until;
+  // The front's authority lease, on the clock of BootNow.
+  AuthorityStatus authority{BootNow(), TimePoint(), TimePoint()};
   bool draining = false;
 
   // Returns whether the authority lease is valid, so that the front may act on
   // the catalog. Checked just before bytes are sent to a backend server,
   // because the process may have been suspended since an earlier check.
   bool has_authority() const {
-    return catalog != nullptr && BootNow() < authority_until;
+    return catalog != nullptr && BootNow() < authority.lease_until;
   }
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -35,8 +35,6 @@
 constexpr uint64_t kServedLogInterval = 64;
 // The newest request changes the mean hold time by one part in this many.
 constexpr int kMeanHoldDivisor = 16;
-// When a caller should retry after a refusal for lack of an authority lease.
-constexpr int64_t kNoAuthorityRetryMs = 300;
 
 std::string WholeMs(Duration d) {
   return std::to_string(std::chrono::duration_cast<milliseconds>(d).count());
@@ -116,7 +114,7 @@
   if (!front_.view.has_authority()) {
     refuse(ErrorCode::kStaleConfig,
            "this host has no confirmed view of the configuration",
-           kNoAuthorityRetryMs);
+           AuthorityRetryDelayMs());
     return;
   }
   const CatalogIndex& catalog = *front_.view.catalog;
@@ -258,7 +256,7 @@
          "the key was withdrawn or the configuration became stale while the "
          "request waited",
          request.may_have_run ? RunState::kUnknown : RunState::kNotRun,
-         kNoAuthorityRetryMs});
+         AuthorityRetryDelayMs()});
     return;
   }
   if (request.waiting) {
@@ -641,6 +639,12 @@
   return RetryDelay(CurrentServiceRate(), queue_.size(), jitter).count();
 }
 
+int64_t Gateway::AuthorityRetryDelayMs() {
+  const double jitter = std::uniform_real_distribution<double>(0, 1)(random_);
+  return RetryWithoutAuthority(front_.view.authority, BootNow(), jitter)
+      .count();
+}
+
 void Gateway::OnDeadline(Request& request) {
   request.deadline_timer = 0;
   End(request, {request.may_have_run ? ErrorCode::kDeadlineExceeded
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -85,6 +85,7 @@
   void Remove(Request& request);
   ServiceRate CurrentServiceRate() const;
   int64_t RetryDelayMs();
+  int64_t AuthorityRetryDelayMs();
   void ScheduleDispatch();
 
   FrontShared& front_;
--- a/test/correctness/gateway_test.cc
+++ b/test/correctness/gateway_test.cc
@@ -39,7 +39,7 @@
       hooks.slot_freed = [] {};
       gateway_ = std::make_unique<Gateway>(*front_, *rates_, std::move(hooks));
       front_->view.catalog = std::make_shared<CatalogIndex>(CatalogOf(kind));
-      front_->view.authority_until = BootNow() + seconds(60);
+      front_->view.authority.lease_until = BootNow() + seconds(60);
       std::vector<UsableBackend> usable;
       usable.reserve(servers.size());
       for (RawServer* server : servers) {
@@ -86,7 +86,7 @@
   }
 
   void EndAuthority() {
-    thread_.Run([this] { front_->view.authority_until = BootNow(); });
+    thread_.Run([this] { front_->view.authority.lease_until = BootNow(); });
   }
 
   // Sends a request and returns all bytes of the answer.
--- a/test/correctness/item_runner_test.cc
+++ b/test/correctness/item_runner_test.cc
@@ -41,7 +41,7 @@
       catalog.routes = {route};
       catalog.services = {{"s", "/health", 10, 4}};
       front_->view.catalog = std::make_shared<CatalogIndex>(catalog);
-      front_->view.authority_until = BootNow() + seconds(60);
+      front_->view.authority.lease_until = BootNow() + seconds(60);
       front_->pool.SetUsable({{"e1", "s", server, true, true, 8, false}});
       runner_ = std::make_unique<ItemRunner>(
           *front_, 1, [this](const proto::ItemOutcome& outcome) {
