--- a/src/fleet/fleet_settings.cc
+++ b/src/fleet/fleet_settings.cc
@@ -53,8 +53,14 @@
   settings.ready = ReadAddress(reader, "ready");
   settings.control = ReadAddress(reader, "control");
   const std::vector<std::string> duties = reader.Strings("duties");
-  settings.store =
-      std::find(duties.begin(), duties.end(), "store") != duties.end();
+  // Fronts and control hosts are known by their addresses.
+  for (const std::string& duty : duties) {
+    settings.store = settings.store || duty == "store";
+    if (duty != "store" && duty != "front" && duty != "control") {
+      reader.RecordError("duties", "has the unknown duty \"" + duty +
+                                       "\"; known are control, front, store");
+    }
+  }
   settings.metrics = ReadAddress(reader, "metrics");
   settings.seeds = reader.Strings("seeds");
   settings.data_folder = reader.String("data_folder", "");
--- a/src/jobs/item_scheduler.cc
+++ b/src/jobs/item_scheduler.cc
@@ -202,9 +202,15 @@
 }
 
 ItemScheduler::FailureAction ItemScheduler::OnFailed(
-    const proto::ItemOutcome& outcome, TimePoint now) {
+    const std::string& front, const proto::ItemOutcome& outcome,
+    TimePoint now) {
   const Key key{outcome.name().job(), outcome.name().item()};
-  running_.erase(key);
+  const auto running = running_.find(key);
+  if (running == running_.end() || running->second.front != front ||
+      running->second.attempt != outcome.name().attempt()) {
+    return FailureAction::kIgnore;
+  }
+  running_.erase(running);
   not_before_[key] = now + kRetryDelay;
   const JobItemState* item = FindUnfinished(key);
   const JobState* job = jobs_.Find(key.first);
--- a/src/jobs/item_scheduler.h
+++ b/src/jobs/item_scheduler.h
@@ -37,8 +37,9 @@
 
 class ItemScheduler {
  public:
-  // What to do with an item after a failed attempt.
-  enum class FailureAction : uint8_t { kRetry, kFailPermanently };
+  // What to do with an item after a failed attempt. kIgnore: the outcome is not
+  // that of the item's current run, so it has been counted before.
+  enum class FailureAction : uint8_t { kIgnore, kRetry, kFailPermanently };
 
   explicit ItemScheduler(const JobTable& jobs) : jobs_(jobs) {}
 
@@ -54,7 +55,8 @@
   void OnReturned(const std::string& front, const proto::ItemOutcome& outcome,
                   TimePoint now);
   // Ends a failed attempt and returns what to do with the item.
-  FailureAction OnFailed(const proto::ItemOutcome& outcome, TimePoint now);
+  FailureAction OnFailed(const std::string& front,
+                         const proto::ItemOutcome& outcome, TimePoint now);
   // Updates the mean run time and event count from a completed item.
   void OnCompleted(const proto::ItemOutcome& outcome, TimePoint now);
   // Drops the state of an item whose result has been recorded.
--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -257,11 +257,20 @@
       RecordResult(from, name, true, "", now);
       return;
     case proto::ItemOutcome::kFailed: {
-      if (scheduler_.OnFailed(outcome, now) ==
-          ItemScheduler::FailureAction::kFailPermanently) {
+      const auto action = scheduler_.OnFailed(from, outcome, now);
+      if (action == ItemScheduler::FailureAction::kFailPermanently) {
         RecordResult(from, name, true, "", now);
         return;
       }
+      if (action == ItemScheduler::FailureAction::kIgnore) {
+        LogInfo("item_failure_ignored",
+                {{"job", name.job()},
+                 {"item", name.item()},
+                 {"front", from},
+                 {"attempt", std::to_string(name.attempt())}});
+        AcknowledgeOutcome(from, name);
+        return;
+      }
       proto::StoreCommand command;
       command.mutable_failed()->set_job(name.job());
       command.mutable_failed()->set_item(name.item());
--- a/src/journal/file_system.cc
+++ b/src/journal/file_system.cc
@@ -4,16 +4,16 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 
 namespace sequoialb {
 namespace {
 
 constexpr char kTemporarySuffix[] = ".tmp";
+constexpr size_t kReadBytes = 65'536;
 
 tl::unexpected<Error> IoFailure(const std::string& what,
                                 const std::string& path) {
@@ -85,13 +85,27 @@
   }
 
   Result<std::string> Read(const std::string& path) override {
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
+    // Not by a stream, which reports a read error as the end of the file: the
+    // journal would truncate there.
+    const int descriptor = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+    if (descriptor < 0) {
       return IoFailure("open", path);
     }
-    std::ostringstream out;
-    out << file.rdbuf();
-    return std::move(out).str();
+    std::string content;
+    std::array<char, kReadBytes> buffer;
+    ssize_t got = 0;
+    do {
+      got = ::read(descriptor, buffer.data(), buffer.size());
+      if (got > 0) {
+        content.append(buffer.data(), static_cast<size_t>(got));
+      }
+    } while (got > 0 || (got < 0 && errno == EINTR));
+    Result<std::string> result = std::move(content);
+    if (got < 0) {
+      result = IoFailure("read", path);
+    }
+    ::close(descriptor);
+    return result;
   }
 
   Result<std::unique_ptr<AppendFile>> OpenAppend(
--- a/test/correctness/jobs_test.cc
+++ b/test/correctness/jobs_test.cc
@@ -239,7 +239,7 @@
     ASSERT_EQ(offers.offers_size(), 1);
     proto::ItemOutcome outcome;
     *outcome.mutable_name() = NameOf(offers.offers(0));
-    if (scheduler_.OnFailed(outcome, At(now)) ==
+    if (scheduler_.OnFailed("f1", outcome, At(now)) ==
         ItemScheduler::FailureAction::kFailPermanently) {
       EXPECT_EQ(run, 3);
       break;
@@ -253,6 +253,27 @@
   }
 }
 
+// The acknowledgement of a failure is lost and the front sends it again. It
+// must be counted once, or the item would be given up before its last attempt.
+TEST_F(ItemSchedulerTest, AFailureThatIsSentAgainCountsOnce) {
+  Accept(Job("j", 1));
+  const auto offers = Report("f1", At(800), 1);
+  ASSERT_EQ(offers.offers_size(), 1);
+  proto::ItemOutcome outcome;
+  *outcome.mutable_name() = NameOf(offers.offers(0));
+  EXPECT_EQ(scheduler_.OnFailed("f1", outcome, At(810)),
+            ItemScheduler::FailureAction::kRetry);
+  EXPECT_EQ(scheduler_.OnFailed("f1", outcome, At(820)),
+            ItemScheduler::FailureAction::kIgnore);
+  // Nor does a late failure of an earlier run count against the next one.
+  const auto again = Report("f1", At(1'200), 1);
+  ASSERT_EQ(again.offers_size(), 1);
+  EXPECT_EQ(scheduler_.OnFailed("f1", outcome, At(1'210)),
+            ItemScheduler::FailureAction::kIgnore);
+  EXPECT_EQ(scheduler_.OnFailed("f2", outcome, At(1'210)),
+            ItemScheduler::FailureAction::kIgnore);
+}
+
 TEST_F(ItemSchedulerTest, AnEndedJobStops) {
   Accept(Job("j", 2));
   const auto offers = Report("f1", At(800), 1);
--- a/test/correctness/storage_test.cc
+++ b/test/correctness/storage_test.cc
@@ -118,6 +118,15 @@
   EXPECT_FALSE(store->Has(name));
 }
 
+// Reading a directory fails with an I/O error after it was opened. The caller
+// must not take that for the end of a file.
+TEST(PosixFileSystemTest, AReadErrorIsNoEndOfFile) {
+  const auto files = MakePosixFileSystem();
+  const auto read = files->Read("/tmp");
+  ASSERT_FALSE(read.has_value());
+  EXPECT_EQ(read.error().code, ErrorCode::kIo);
+}
+
 TEST(WriteFileDurablyTest, CrashLeavesOldOrNewContent) {
   for (int fail_at = 1; fail_at <= 6; ++fail_at) {
     MemoryFiles files;
