Count retirements that are proposed when another store host is retired

Change: a proposed retirement counts as carried out until its outcome is known or this host no longer leads; a second call for the same host is retried until then. Measured: fleet_path_test passes; no test drives two calls at once.

--- a/src/fleet/control_service.cc
+++ b/src/fleet/control_service.cc
@@ -262,6 +262,9 @@
   registry_.Expire(now);
   RetryCalls(now);
   UpdateRateOwnership(now);
+  if (!group_->leads()) {
+    retire_proposed_.clear();
+  }
   if (group_->leads() && now >= maintain_at_) {
     maintain_at_ = now + kMaintainInterval;
     group_->MaintainMembership(Candidates(true, now), {}, now);
@@ -495,7 +498,8 @@
                       const DirectoryEntry& known = entry.second;
                       return known.info.store() && entry.first != host &&
                              now - known.last_contact < kRecentContact &&
-                             state_.retiring_hosts().count(entry.first) == 0;
+                             state_.retiring_hosts().count(entry.first) == 0 &&
+                             retire_proposed_.count(entry.first) == 0;
                     }));
 }
 
@@ -505,6 +509,10 @@
     reply(proto::ControlAnswer());
     return;
   }
+  if (retire_proposed_.count(host) > 0) {
+    reply(ErrorAnswer({ErrorCode::kNoQuorum, "the call is not committed yet"}));
+    return;
+  }
   const auto found = directory_.hosts().find(host);
   if (found == directory_.hosts().end() || !found->second.info.store()) {
     reply(ErrorAnswer({ErrorCode::kNotFound, "no store host " + host}));
@@ -520,9 +528,12 @@
   }
   proto::ControlCommand command;
   command.mutable_retire_host()->set_host(host);
-  group_->Propose(
-      command.SerializeAsString(), now,
-      [reply](const Status& outcome) { reply(OutcomeAnswer(outcome)); });
+  retire_proposed_.insert(host);
+  group_->Propose(command.SerializeAsString(), now,
+                  [this, host, reply](const Status& outcome) {
+                    retire_proposed_.erase(host);
+                    reply(OutcomeAnswer(outcome));
+                  });
 }
 
 // A host is retired once the store group's leader reports a settled membership
--- a/src/fleet/control_service.h
+++ b/src/fleet/control_service.h
@@ -117,6 +117,8 @@
   uint64_t live_fronts_hash_ = 0;
   bool bootstrap_pending_ = false;
   bool stores_proposed_ = false;
+  // Hosts whose retirement is proposed and not committed yet.
+  std::set<std::string> retire_proposed_;
   TimePoint stores_changed_at_;
   size_t stores_seen_ = 0;
   TimePoint maintain_at_;
