Send control hosts that do not lead every second heartbeat

Cause: all hosts sent four heartbeats a second to each control host, each answered; only the leader's answers extend leases. Fronts also made the list of their servers anew ten times a second. Ruled out: heartbeats to the leader alone, with which a new leader would know no hosts for a second; rarer ones to the leader, on which withdrawals depend. Change: heartbeat_policy.h; a changed list of live fronts publishes the servers at once, otherwise twice a second.

--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -12,6 +12,9 @@
 constexpr milliseconds kControlTickInterval{20};
 constexpr milliseconds kItemReportInterval{100};
 constexpr milliseconds kSummaryInterval{1'000};
+// Changes of servers and fronts reach the traffic thread at once; servers that
+// become unresponsive are found by this interval.
+constexpr milliseconds kPublishInterval{500};
 // The authority lease ends this long before a withdrawn API key must have
 // stopped working, because clocks of different hosts run at different rates.
 constexpr milliseconds kWithdrawalMargin{250};
@@ -294,6 +297,7 @@
   if (front_ == nullptr || member_ == nullptr) {
     return;
   }
+  next_publish_at_ = now + kPublishInterval;
   std::map<std::string, std::vector<std::string>> fronts;
   std::vector<std::string> all_fronts;
   for (const auto& front : member_->last_confirmed_reply().live_fronts()) {
@@ -530,7 +534,9 @@
   PostControl([this, report] {
     const TimePoint boot_now = BootNow();
     job_client_->SendReport(report, boot_now);
-    PublishBackends(boot_now);
+    if (boot_now >= next_publish_at_) {
+      PublishBackends(boot_now);
+    }
   });
 }
 
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -103,6 +103,8 @@
   std::unique_ptr<HttpServer> metrics_server_;
   bool dispatch_scheduled_ = false;
   TimePoint next_summary_at_;
+  // Used on the control thread.
+  TimePoint next_publish_at_;
 
   // Tasks posted to the control thread.
   TaskQueue control_tasks_;
--- a/src/fleet/fleet_member.cc
+++ b/src/fleet/fleet_member.cc
@@ -1,6 +1,7 @@
 #include "fleet/fleet_member.h"
 
 #include "fleet/boot_clock.h"
+#include "fleet/heartbeat_policy.h"
 #include "observe/log.h"
 
 namespace sequoialb {
@@ -66,7 +67,11 @@
   hello.set_catalog_version(catalog_version_);
   hello.set_wants_backends(options_.wants_backends);
   callbacks_.fill_hello(hello);
-  for (const std::string& target : HeartbeatTargets()) {
+  const std::set<std::string> targets =
+      SendsToAllControlHosts(heartbeats_++, confirmed_at_, now)
+          ? HeartbeatTargets()
+          : std::set<std::string>{leader_host_};
+  for (const std::string& target : targets) {
     const auto known = control_hosts_.find(target);
     const ControlHostState state =
         known == control_hosts_.end() ? ControlHostState{} : known->second;
@@ -108,16 +113,20 @@
       UpdateHosts(reply);
     }
   }
+  bool fronts_changed = false;
   if (reply.confirmed()) {
     leader_host_ = from;
+    confirmed_at_ = now;
     *last_confirmed_reply_.mutable_store_founders() = reply.store_founders();
     *last_confirmed_reply_.mutable_retiring_hosts() = reply.retiring_hosts();
     if (!reply.live_fronts_unchanged() && !overtaken) {
+      fronts_changed =
+          reply.live_fronts_hash() != last_confirmed_reply_.live_fronts_hash();
       *last_confirmed_reply_.mutable_live_fronts() = reply.live_fronts();
       last_confirmed_reply_.set_live_fronts_hash(reply.live_fronts_hash());
     }
   }
-  bool changed = false;
+  bool changed = fronts_changed;
   for (const proto::BackendRecord& record : reply.backends()) {
     if (backends_.Merge(record, now)) {
       changed = true;
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -45,7 +45,8 @@
     std::function<void(TimePoint at)> on_contact;
     // The authority lease now ends at `until`, on the clock of BootNow.
     std::function<void(TimePoint until)> on_authority_lease;
-    // A backend server was added, changed or deregistered.
+    // A backend server was added, changed or deregistered, or the list of live
+    // fronts has changed.
     std::function<void()> on_backends;
     // Adds the fields that change from heartbeat to heartbeat.
     std::function<void(proto::HostHello&)> fill_hello;
@@ -99,6 +100,9 @@
   uint64_t catalog_version_ = 0;
   TimePoint authority_until_;
   TimePoint next_heartbeat_;
+  uint64_t heartbeats_ = 0;
+  // When a leader last confirmed a heartbeat.
+  TimePoint confirmed_at_;
   TimePoint last_reply_;
   std::string leader_host_;
   bool in_contact_ = false;
--- a/test/correctness/fleet_test.cc
+++ b/test/correctness/fleet_test.cc
@@ -10,6 +10,7 @@
 #include "fleet/backend_registry.h"
 #include "fleet/control_state.h"
 #include "fleet/fleet_settings.h"
+#include "fleet/heartbeat_policy.h"
 #include "fleet/host_directory.h"
 #include "group/membership_planner.h"
 
@@ -106,6 +107,19 @@
   EXPECT_TRUE(UsableIds(directory, kNow).empty());
 }
 
+// Of the heartbeats of a second, four go to the leader and two to each other
+// control host; all go to all while no leader answers.
+TEST(HeartbeatPolicy, FollowersGetEverySecondHeartbeat) {
+  const TimePoint confirmed = kNow - milliseconds(250);
+  int to_all = 0;
+  for (uint64_t round = 0; round < 4; ++round) {
+    to_all += SendsToAllControlHosts(round, confirmed, kNow) ? 1 : 0;
+    EXPECT_TRUE(SendsToAllControlHosts(round, TimePoint(), kNow));
+    EXPECT_TRUE(SendsToAllControlHosts(round, kNow - seconds(1), kNow));
+  }
+  EXPECT_EQ(to_all, 2);
+}
+
 proto::HostInfo HostNamed(const std::string& host, uint64_t incarnation) {
   proto::HostInfo info;
   info.set_host(host);
@@ -451,6 +465,8 @@
             "front": "10.0.0.1:80"})",
         R"({"host": "a", "failure_domain": "d", "peer": "10.0.0.1:7000",
             "withdrawal_ms": "soon"})",
+        R"({"host": "a", "failure_domain": "d", "peer": "10.0.0.1:7000",
+            "duties": ["stor"], "data_folder": "/data"})",
         R"({"host": )"}) {
     const auto settings = ParseFleetSettings(text, "test");
     ASSERT_FALSE(settings.has_value()) << text;
