Spread batch items evenly over the fronts

Ruled out: a larger reserve on each front, which leaves slots idle on all; one item a report, which lets the fronts that report first fill up over several reports. Change: a report gets items up to an even share of those that run and wait; a front at its share gets none while another with fewer has free slots. Measured: jobs_test, 13 jobs at 66 fronts: at most 3 items a front (6 before).

--- a/src/jobs/item_scheduler.cc
+++ b/src/jobs/item_scheduler.cc
@@ -10,6 +10,8 @@
 // Fronts report ten times a second. One that has not reported for this long has
 // stopped or is cut off.
 constexpr milliseconds kFrontTimeout{1'500};
+// The free slots that a front has reported count for this long.
+constexpr milliseconds kFreeSlotsMaxAge{300};
 // A new leader has received reports from all fronts after this time.
 constexpr milliseconds kReportCollectionTime{700};
 // An offer that the front does not report within this time was lost.
@@ -29,7 +31,7 @@
   running_.clear();
   progress_.clear();
   not_before_.clear();
-  last_report_at_.clear();
+  fronts_.clear();
   no_offers_until_ = now + kReportCollectionTime;
 }
 
@@ -80,12 +82,12 @@
 void ItemScheduler::OnReport(const std::string& front,
                              const proto::ItemReport& report, TimePoint now,
                              proto::ItemOffers& answer) {
-  last_report_at_[front] = now;
   ReconcileRunning(front, report, now, answer);
   size_t free_slots = 0;
   for (const auto& entry : report.room()) {
     free_slots += entry.items();
   }
+  fronts_[front] = {now, free_slots};
   if (now >= no_offers_until_ && free_slots > 0) {
     OfferItems(front, free_slots, now, answer);
   }
@@ -134,13 +136,35 @@
   return waiting;
 }
 
+size_t ItemScheduler::FairOffers(const std::string& front, size_t waiting,
+                                 TimePoint now) const {
+  std::map<std::string, size_t> held;
+  for (const auto& [key, running] : running_) {
+    ++held[running.front];
+  }
+  const size_t fair =
+      (running_.size() + waiting + fronts_.size() - 1) / fronts_.size();
+  if (held[front] < fair) {
+    return fair - held[front];
+  }
+  const bool others_have_room =
+      std::any_of(fronts_.begin(), fronts_.end(), [&](const auto& entry) {
+        return entry.second.free_slots > 0 && held[entry.first] < fair &&
+               now - entry.second.reported_at < kFreeSlotsMaxAge;
+      });
+  return others_have_room ? 0 : 1;
+}
+
 void ItemScheduler::OfferItems(const std::string& front, size_t free_slots,
                                TimePoint now, proto::ItemOffers& answer) {
-  for (const Candidate& next : WaitingByPriority(now)) {
-    if (free_slots-- == 0) {
-      return;
-    }
-    AddOffer(front, next, now, answer);
+  const std::vector<Candidate> waiting = WaitingByPriority(now);
+  if (waiting.empty()) {
+    return;
+  }
+  const size_t offers = std::min(
+      {free_slots, waiting.size(), FairOffers(front, waiting.size(), now)});
+  for (size_t i = 0; i < offers; ++i) {
+    AddOffer(front, waiting[i], now, answer);
   }
 }
 
@@ -230,8 +254,8 @@
 }
 
 void ItemScheduler::Tick(TimePoint now) {
-  for (auto it = last_report_at_.begin(); it != last_report_at_.end();) {
-    if (now - it->second <= kFrontTimeout) {
+  for (auto it = fronts_.begin(); it != fronts_.end();) {
+    if (now - it->second.reported_at <= kFrontTimeout) {
       ++it;
       continue;
     }
@@ -244,7 +268,7 @@
     }
     LogInfo("front_silent",
             {{"front", front}, {"items_taken", std::to_string(taken)}});
-    it = last_report_at_.erase(it);
+    it = fronts_.erase(it);
   }
 }
 
--- a/src/jobs/item_scheduler.h
+++ b/src/jobs/item_scheduler.h
@@ -6,10 +6,12 @@
 // some time after its submission. Bursts of online requests take slots away
 // from items for seconds at a time.
 //
-// Items are offered by due time, to each front as many as it has free slots
-// for. An item that a front returns unfinished keeps its progress. Under
-// overload, ordering by due time alone would make every item miss its due time
-// by a little. Items that can still meet theirs therefore go first, which is
+// Items are offered by due time, to each front as many as it has free slots for
+// and not many more than other fronts run: a burst of online requests then
+// finds free slots beside the items of each front, and stops few of them. An
+// item that a front returns unfinished keeps its progress. Under overload,
+// ordering by due time alone would make every item miss its due time by a
+// little. Items that can still meet theirs therefore go first, which is
 // estimated from the mean run time and the item's progress; the others get the
 // slots that remain.
 //
@@ -94,6 +96,16 @@
   void ReconcileRunning(const std::string& front,
                         const proto::ItemReport& report, TimePoint now,
                         proto::ItemOffers& answer);
+  // What a front reported last.
+  struct FrontState {
+    TimePoint reported_at;
+    size_t free_slots = 0;
+  };
+
+  // Returns how many items the front may get with this report, so that the
+  // items are spread over all fronts.
+  size_t FairOffers(const std::string& front, size_t waiting,
+                    TimePoint now) const;
   void OfferItems(const std::string& front, size_t free_slots, TimePoint now,
                   proto::ItemOffers& answer);
   std::vector<Candidate> WaitingByPriority(TimePoint now) const;
@@ -109,8 +121,7 @@
   std::map<Key, Running> running_;
   std::map<Key, Progress> progress_;
   std::map<Key, TimePoint> not_before_;
-  // When each front last sent a report.
-  std::map<std::string, TimePoint> last_report_at_;
+  std::map<std::string, FrontState> fronts_;
   // Exponentially weighted means over recent runs.
   double mean_run_s_ = 0;
   double mean_events_ = 0;
--- a/test/correctness/jobs_test.cc
+++ b/test/correctness/jobs_test.cc
@@ -164,6 +164,42 @@
   EXPECT_EQ(Report("f2", At(810), 3).offers_size(), 1);
 }
 
+// Jobs of ten items arrive at a deployment of many fronts, each with six free
+// slots. If the first fronts to report took all they have slots for, the next
+// burst of online requests would stop items at those and find free slots at the
+// others.
+TEST_F(ItemSchedulerTest, ItemsAreSpreadOverTheFronts) {
+  constexpr int kFronts = 66;
+  constexpr uint32_t kFreeSlots = 6;
+  std::map<std::string, std::vector<proto::ItemName>> held;
+  const auto report_all = [&](int64_t ms) {
+    for (int i = 0; i < kFronts; ++i) {
+      const std::string front = "f" + std::to_string(i);
+      auto& items = held[front];
+      const auto free = kFreeSlots - static_cast<uint32_t>(items.size());
+      const auto offers = Report(front, At(ms), free, items);
+      for (const auto& offer : offers.offers()) {
+        items.push_back(NameOf(offer));
+      }
+    }
+  };
+  report_all(100);
+  for (int job = 0; job < 13; ++job) {
+    proto::JobRecord record = Job("j" + std::to_string(job), 10);
+    record.set_token_cap(0);
+    Accept(record);
+    report_all(800 + job * 100);
+  }
+  size_t running = 0;
+  size_t most = 0;
+  for (const auto& [front, items] : held) {
+    running += items.size();
+    most = std::max(most, items.size());
+  }
+  EXPECT_EQ(running, 130U);
+  EXPECT_LE(most, 3U);
+}
+
 // Under overload, more items are due than can run. Those that can still meet
 // their due time are offered before those that cannot.
 TEST_F(ItemSchedulerTest, UnderOverloadItemsThatCanMeetTheirDeadlineGoFirst) {
