--- a/src/fleet/load_reporter.cc
+++ b/src/fleet/load_reporter.cc
@@ -40,7 +40,7 @@
 
 }  // namespace
 
-void LoadReporter::SetFronts(LiveFronts fronts) {
+void LoadReporter::SetFronts(const LiveFronts& fronts) {
   domain_peers_ = DomainPeers(fronts, self_);
   remote_relays_ = RemoteRelays(fronts, self_);
   const bool is_relay = IsRelay(fronts, self_);
--- a/src/fleet/load_reporter.h
+++ b/src/fleet/load_reporter.h
@@ -22,7 +22,7 @@
       : pool_(pool), self_(std::move(self)), send_(std::move(send)) {}
 
   // Sets the live fronts, this one included.
-  void SetFronts(LiveFronts fronts);
+  void SetFronts(const LiveFronts& fronts);
 
   // Sends the reports that are due. `waiting` is how many online requests wait
   // for a slot here. Call every kInterval.
