Let a request that has lost its server wait as long as before

Ruled out: no limit, which holds it until its deadline. Change: the limit of arrivals counts for requests that have not been sent.

--- a/src/fleet/load_reporter.cc
+++ b/src/fleet/load_reporter.cc
@@ -1,5 +1,7 @@
 #include "fleet/load_reporter.h"
 
+#include <algorithm>
+
 #include "observe/log.h"
 
 namespace sequoialb {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -575,8 +575,11 @@
           ? request.deadline
           : std::min(request.deadline, request.arrived_at + limits.held);
   const TimePoint now = front_.loop.now();
+  // A request that has lost its server was admitted before.
   const TimePoint admitted_until =
-      std::min(entry.expires_at, request.arrived_at + limits.admitted);
+      request.attempts > 0
+          ? entry.expires_at
+          : std::min(entry.expires_at, request.arrived_at + limits.admitted);
   if (!request.head_forwarded &&
       CannotMeetDeadline(CurrentServiceRate(), queue_.Ahead(now),
                          admitted_until - now)) {
