Log what a broken attempt has in common with others

Cause: of the three hypotheses on servers that crash one after the other (content, load, reconnection) the logs could distinguish none: a broken attempt was logged without its prompt's parts, account, route, and time at the server. Ruled out: counters by part, which have no bound.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -37,6 +37,14 @@
   return std::to_string(std::chrono::duration_cast<milliseconds>(d).count());
 }
 
+std::string Joined(const std::vector<std::string>& parts) {
+  std::string joined;
+  for (const std::string& part : parts) {
+    joined.append(joined.empty() ? "" : ",").append(part);
+  }
+  return joined;
+}
+
 std::string_view HostWithoutPort(std::string_view host) {
   return host.substr(0, host.find(':'));
 }
@@ -494,6 +502,19 @@
 
 void Gateway::OnFailure(Request& request, CallFailure failure) {
   const std::string backend = request.backend;
+  if (failure == CallFailure::kBroken) {
+    const TimePoint now = front_.loop.now();
+    LogInfo("attempt_broken",
+            {{"request", request.caller.id},
+             {"account", request.account},
+             {"route", request.route->name},
+             {"backend", backend},
+             {"shared_parts", Joined(request.caller.shared_parts)},
+             {"ran_ms", WholeMs(now - request.sent_at)},
+             {"answer_begun",
+              request.last_progress_at != TimePoint() ? "yes" : "no"},
+             {"load", front_.pool.Describe(backend, now)}});
+  }
   front_.pool.RecordFailure(backend, front_.loop.now());
   request.avoid.insert(backend);
   if (failure == CallFailure::kUnreachable) {
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "base/time.h"
 #include "http/message.h"
@@ -26,8 +27,10 @@
   std::optional<uint64_t> last_event;
   uint64_t prompt_tokens = 0;
   uint64_t output_tokens = 0;
-  // Identifies the last shared part of the prompt, which all requests of a
-  // session have in common.
+  // The parts of the prompt that requests of other sessions may have too, in
+  // order: all but the last.
+  std::vector<std::string> shared_parts;
+  // The last part of the prompt, which only requests of one session have.
   std::string session;
 };
 
@@ -77,6 +80,9 @@
   virtual ~GatewayProtocol() = default;
 
   virtual CallerRequest DecodeRequest(const RequestHead& head) const = 0;
+  // Returns the shared parts of the prompt that the headers describe.
+  virtual std::vector<std::string> DecodeSharedParts(
+      const HttpHeaders& headers) const = 0;
   // Returns the headers to send to a backend server: the caller's headers,
   // without those of one hop, and the fields that the gateway adds.
   virtual HttpHeaders ForwardHeaders(const HttpHeaders& headers,
