Reproduce: a part of a prompt crashes server after server (known red)

Nothing links the crashes of different servers to what their requests have in common. Ruled out: load and reconnection (docs/incidents/2026-12-05-crashing-prompt-part.md).

--- a/test/fakes/platform_engine.h
+++ b/test/fakes/platform_engine.h
@@ -62,6 +62,24 @@
     });
   }
 
+  // The engine crashes kTimeToCrash after it has begun to answer a request
+  // whose prompt has this part: all its streams are reset, and for kRestartTime
+  // it resets every request.
+  void SetCrashingPart(const std::string& part) {
+    thread_.Run([&] { crashing_part_ = part; });
+  }
+  int crashes() {
+    int crashes = 0;
+    thread_.Run([&] { crashes = crashes_; });
+    return crashes;
+  }
+  // Returns how many requests with the crashing part the engine has run.
+  int crashing_requests() {
+    int requests = 0;
+    thread_.Run([&] { requests = crashing_requests_; });
+    return requests;
+  }
+
   // Returns the heads of the requests that the engine has run.
   std::vector<RequestHead> AcceptedRequests() {
     std::vector<RequestHead> copy;
@@ -70,6 +88,8 @@
   }
 
   static constexpr int kEvents = 12;
+  static constexpr milliseconds kTimeToCrash{30};
+  static constexpr milliseconds kRestartTime{300};
 
  private:
   struct Stream {
@@ -87,7 +107,18 @@
       exchange->Respond(421, {}, "");
       return;
     }
+    if (thread_.loop().now() < restarted_at_) {
+      exchange->Abort();
+      return;
+    }
     accepted_requests_.push_back(exchange->head());
+    const std::string* prompt = exchange->head().headers.Find("Prompt-Prefix");
+    if (!crashing_part_.empty() && prompt != nullptr &&
+        prompt->find(crashing_part_ + ":") != std::string::npos) {
+      ++crashing_requests_;
+      thread_.loop().RunAt(thread_.loop().now() + kTimeToCrash,
+                           [this] { Crash(); });
+    }
     const std::string* last = exchange->head().headers.Find("Last-Event-Id");
     auto stream = std::make_shared<Stream>();
     stream->exchange = exchange;
@@ -103,6 +134,20 @@
     SendNextEvent(stream);
   }
 
+  void Crash() {
+    if (thread_.loop().now() < restarted_at_) {
+      return;
+    }
+    ++crashes_;
+    restarted_at_ = thread_.loop().now() + kRestartTime;
+    for (const auto& stream : streams_) {
+      if (!stream->exchange->ended()) {
+        stream->exchange->Abort();
+      }
+    }
+    streams_.clear();
+  }
+
   void SendNextEvent(const std::shared_ptr<Stream>& stream) {
     if (stream->exchange->ended()) {
       return;
@@ -135,6 +180,10 @@
   std::vector<RequestHead> accepted_requests_;
   StreamFault fault_ = StreamFault::kNone;
   int after_events_ = 0;
+  std::string crashing_part_;
+  TimePoint restarted_at_;
+  int crashes_ = 0;
+  int crashing_requests_ = 0;
 };
 
 }  // namespace sequoialb::fakes
