Quarantine parts of prompts that crash servers

Cause: what callers saw: requests of one kind, and most others for as long as they came, were answered 502 or 503. Failures were counted by server alone, so nothing linked the crashes of different servers; each front and each retry sent a harmful prompt to the next server. Class of fault: a harmful request whose retries spread it, without a bound across the hosts. Change: fronts report crashes with the prompts that may have caused them; the control leader finds the parts that were in several crashes and in no sound answer, commits a quarantine to its log, and fronts and stores take it from their heartbeats' replies. Covered requests are refused at once as not run; covered items wait.

--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -29,6 +29,7 @@
     ErrorRow{ErrorCode::kStaleConfig, "stale_config", 503},
     ErrorRow{ErrorCode::kNoQuorum, "no_quorum", 503},
     ErrorRow{ErrorCode::kBackendFailed, "backend_failed", 502},
+    ErrorRow{ErrorCode::kQuarantined, "quarantined", 503},
     ErrorRow{ErrorCode::kItemFailed, "item_failed", 422},
     ErrorRow{ErrorCode::kCancelled, "cancelled", 409},
     ErrorRow{ErrorCode::kShuttingDown, "shutting_down", 503},
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -35,6 +35,7 @@
   kStaleConfig,       // keys and documents are not confirmed to be fresh
   kNoQuorum,          // the replicated state cannot be reached
   kBackendFailed,     // the backend server failed after the request was sent
+  kQuarantined,       // requests with this prompt crash backend servers
   kItemFailed,        // the batch item cannot succeed
   kCancelled,         // the caller or an operator cancelled it
   kShuttingDown,      // this host is shutting down
--- a/src/fleet/control_service.cc
+++ b/src/fleet/control_service.cc
@@ -45,6 +45,7 @@
     : options_(std::move(options)),
       links_(links),
       registry_(options_.self.incarnation()),
+      quarantines_(state_, metrics),
       rates_(
           options_.self.host(), RateOptions{},
           [this](const std::string& account) { return RateLimitOf(account); }),
@@ -97,6 +98,7 @@
     LogInfo("hello_of_ended_process", {{"from", from}});
     return;
   }
+  quarantines_.OnHello(from, hello, now);
   proto::FleetMessage message;
   FillReply(hello, *message.mutable_hello_reply(), now);
   links_.Send(from, message);
@@ -125,9 +127,13 @@
     registry_.FillChanges(hello.registry_incarnation(), hello.registry_cursor(),
                           reply, now);
   }
+  if (hello.info().front()) {
+    reply.set_crash_cursor(quarantines_.CrashCursor(hello.info()));
+  }
   if (!reply.confirmed()) {
     return;
   }
+  quarantines_.FillReply(hello, reply);
   for (const std::string& node : state_.initial_store_members()) {
     reply.add_store_founders(node);
   }
@@ -265,6 +271,12 @@
   if (!group_->leads()) {
     retire_proposed_.clear();
   }
+  quarantines_.Tick(
+      group_->IsConfirmedLeader(now), now,
+      [this, now](const proto::ControlCommand& command,
+                  const std::function<void(const Status&)>& done) {
+        group_->Propose(command.SerializeAsString(), now, done);
+      });
   if (group_->leads() && now >= maintain_at_) {
     maintain_at_ = now + kMaintainInterval;
     group_->MaintainMembership(Candidates(true, now), {}, now);
--- a/src/fleet/control_service.h
+++ b/src/fleet/control_service.h
@@ -19,6 +19,7 @@
 #include "fleet/control_state.h"
 #include "fleet/host_directory.h"
 #include "fleet/host_links.h"
+#include "fleet/quarantine_service.h"
 #include "group/consensus_group.h"
 #include "rates/rate_owner.h"
 
@@ -111,6 +112,7 @@
   BackendRegistry registry_;
   std::unique_ptr<ConsensusGroup> group_;
   HostDirectory directory_;
+  QuarantineService quarantines_;
   // The fronts whose heartbeats arrive and that are not leaving, as of the last
   // tick.
   google::protobuf::RepeatedPtrField<proto::LiveFront> live_fronts_;
--- a/src/fleet/control_state.cc
+++ b/src/fleet/control_state.cc
@@ -1,5 +1,6 @@
 #include "fleet/control_state.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "observe/log.h"
@@ -25,10 +26,31 @@
                                   parsed.found_stores().nodes().end());
   } else if (parsed.has_retire_host()) {
     retiring_hosts_.insert(parsed.retire_host().host());
+  } else if (parsed.has_quarantine()) {
+    Release(parsed.quarantine().parts());
+    if (quarantines_.size() >= kMaxQuarantines) {
+      quarantines_.erase(quarantines_.begin());
+    }
+    *quarantines_.Add() = parsed.quarantine();
+  } else if (parsed.has_release()) {
+    Release(parsed.release().parts());
   }
   return {};
 }
 
+void ControlState::Release(
+    const google::protobuf::RepeatedPtrField<std::string>& parts) {
+  const auto same = std::find_if(
+      quarantines_.begin(), quarantines_.end(),
+      [&](const proto::Quarantine& quarantine) {
+        return std::equal(quarantine.parts().begin(), quarantine.parts().end(),
+                          parts.begin(), parts.end());
+      });
+  if (same != quarantines_.end()) {
+    quarantines_.erase(same);
+  }
+}
+
 StateParts ControlState::Save() const {
   proto::ControlSnapshot saved;
   saved.set_has_catalog(has_catalog_);
@@ -40,6 +62,7 @@
   for (const std::string& host : retiring_hosts_) {
     saved.add_retiring_hosts(host);
   }
+  *saved.mutable_quarantines() = quarantines_;
   return [bytes =
               std::optional<std::string>(saved.SerializeAsString())]() mutable {
     return std::exchange(bytes, std::nullopt);
@@ -58,6 +81,7 @@
                                 parsed.store_founders().end());
   retiring_hosts_ = {parsed.retiring_hosts().begin(),
                      parsed.retiring_hosts().end()};
+  quarantines_ = parsed.quarantines();
   return {};
 }
 
--- a/src/fleet/control_state.h
+++ b/src/fleet/control_state.h
@@ -1,6 +1,6 @@
 // The durable state of a fleet, replicated by the control group: the catalog in
-// force, the initial members (disks) of the store group, and the store hosts to
-// be decommissioned.
+// force, the initial members (disks) of the store group, the store hosts to be
+// decommissioned, and the quarantined parts of prompts.
 #pragma once
 
 #include <set>
@@ -9,6 +9,7 @@
 
 #include "group/group_state.h"
 #include "proto/fleet.pb.h"
+#include "quarantine/quarantine_list.h"
 
 namespace sequoialb {
 
@@ -31,13 +32,20 @@
   const std::set<std::string>& retiring_hosts() const {
     return retiring_hosts_;
   }
+  // In the order in which they began. The oldest ends when there are too many.
+  const Quarantines& quarantines() const { return quarantines_; }
+
+  static constexpr int kMaxQuarantines = 64;
 
  private:
+  void Release(const google::protobuf::RepeatedPtrField<std::string>& parts);
+
   bool has_catalog_ = false;
   uint64_t catalog_version_ = 0;
   std::string catalog_;
   std::vector<std::string> initial_store_members_;
   std::set<std::string> retiring_hosts_;
+  Quarantines quarantines_;
 };
 
 }  // namespace sequoialb
--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -251,6 +251,23 @@
     });
   };
   callbacks.on_backends = [this] { PublishBackends(BootNow()); };
+  callbacks.on_quarantines = [this](const Quarantines& quarantines) {
+    loop_.Post([this, quarantines] {
+      if (front_ != nullptr) {
+        front_->view.quarantines = quarantines;
+        LogInfo("quarantines_taken",
+                {{"count", std::to_string(quarantines.size())}});
+        gateway_->EndQuarantined();
+      }
+    });
+  };
+  callbacks.on_watched_parts = [this](const std::set<std::string>& parts) {
+    loop_.Post([this, parts] {
+      if (front_ != nullptr) {
+        front_->crashes.SetWatched(parts);
+      }
+    });
+  };
   callbacks.fill_hello = [this](proto::HostHello& hello) { FillHello(hello); };
   return callbacks;
 }
@@ -549,6 +566,29 @@
     item_runner_->StopOneAt(backend);
   }
   load_reporter_->Tick(static_cast<uint32_t>(gateway_->waiting()), now);
+  ReportCrashes(now);
+}
+
+void FleetHost::ReportCrashes(TimePoint now) {
+  std::vector<CrashRecord> crashes = front_->crashes.TakeCrashes(now);
+  std::map<std::string, TimePoint> sound = front_->crashes.TakeSound();
+  if (crashes.empty() && sound.empty()) {
+    return;
+  }
+  // The two threads use different clocks.
+  const Duration offset = BootNow() - now;
+  for (CrashRecord& crash : crashes) {
+    LogInfo("backend_crashed",
+            {{"backend", crash.backend},
+             {"requests", std::to_string(crash.requests.size())}});
+    crash.at += offset;
+  }
+  for (auto& [part, at] : sound) {
+    at += offset;
+  }
+  PostControl([this, crashes, sound] {
+    member_->ReportCrashes(crashes, sound, BootNow());
+  });
 }
 
 void FleetHost::OnFrontRequest(const std::shared_ptr<HttpExchange>& exchange) {
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -74,6 +74,9 @@
   void OnReadyRequest(const std::shared_ptr<HttpExchange>& exchange);
   void ReportItems();
   void ReportLoad();
+  // Passes the crashes of backend servers that the traffic thread has seen to
+  // the control hosts.
+  void ReportCrashes(TimePoint now);
   void ScheduleDispatch();
 
   FleetSettings settings_;
--- a/src/fleet/fleet_member.cc
+++ b/src/fleet/fleet_member.cc
@@ -1,5 +1,7 @@
 #include "fleet/fleet_member.h"
 
+#include <algorithm>
+
 #include "fleet/boot_clock.h"
 #include "fleet/heartbeat_policy.h"
 #include "observe/log.h"
@@ -11,6 +13,8 @@
 constexpr milliseconds kHeartbeatInterval{250};
 // Used until the first catalog has arrived.
 constexpr milliseconds kInitialHeartbeatInterval{100};
+// Heartbeats that report crashes are sent at most this often.
+constexpr milliseconds kMinHeartbeatInterval{50};
 // Six heartbeats without a reply.
 constexpr milliseconds kContactTimeout{1'500};
 
@@ -58,6 +62,7 @@
   if (now < next_heartbeat_) {
     return;
   }
+  last_heartbeat_ = now;
   next_heartbeat_ =
       now + (has_catalog_ ? kHeartbeatInterval : kInitialHeartbeatInterval);
   proto::FleetMessage message;
@@ -78,6 +83,8 @@
     hello.set_directory_hash(state.directory_hash);
     hello.set_directory_cursor(state.directory_cursor);
     hello.set_live_fronts_hash(last_confirmed_reply_.live_fronts_hash());
+    hello.set_quarantines_hash(last_confirmed_reply_.quarantines_hash());
+    crash_evidence_.Fill(state.crash_cursor, now, hello);
     hello.set_registry_incarnation(state.registry_incarnation);
     hello.set_registry_cursor(state.registry_cursor);
     // Set as late as possible, because the authority lease starts at this time.
@@ -99,6 +106,10 @@
     callbacks_.on_contact(now);
   }
   ControlHostState& state = control_hosts_[from];
+  const bool same_process =
+      state.registry_incarnation == reply.registry_incarnation();
+  // A restarted control host has lost the earlier reports.
+  state.crash_cursor = same_process ? reply.crash_cursor() : 0;
   state.registry_incarnation = reply.registry_incarnation();
   state.registry_cursor = reply.registry_cursor();
   // A reply that was overtaken by a later one must not replace newer contents
@@ -125,6 +136,9 @@
       *last_confirmed_reply_.mutable_live_fronts() = reply.live_fronts();
       last_confirmed_reply_.set_live_fronts_hash(reply.live_fronts_hash());
     }
+    if (!overtaken) {
+      UpdateQuarantines(reply);
+    }
   }
   bool changed = fronts_changed;
   for (const proto::BackendRecord& record : reply.backends()) {
@@ -145,6 +159,33 @@
   ExtendAuthorityLease(reply);
 }
 
+void FleetMember::UpdateQuarantines(const proto::HelloReply& reply) {
+  if (reply.quarantines_hash() != last_confirmed_reply_.quarantines_hash()) {
+    last_confirmed_reply_.set_quarantines_hash(reply.quarantines_hash());
+    *last_confirmed_reply_.mutable_quarantines() = reply.quarantines();
+    callbacks_.on_quarantines(last_confirmed_reply_.quarantines());
+  }
+  std::set<std::string> watched(reply.watched_parts().begin(),
+                                reply.watched_parts().end());
+  if (watched != watched_parts_) {
+    watched_parts_ = std::move(watched);
+    callbacks_.on_watched_parts(watched_parts_);
+  }
+}
+
+void FleetMember::ReportCrashes(const std::vector<CrashRecord>& crashes,
+                                const std::map<std::string, TimePoint>& sound,
+                                TimePoint now) {
+  for (const CrashRecord& crash : crashes) {
+    crash_evidence_.AddCrash(crash);
+  }
+  crash_evidence_.AddSound(sound, now);
+  if (!crashes.empty()) {
+    next_heartbeat_ =
+        std::min(next_heartbeat_, last_heartbeat_ + kMinHeartbeatInterval);
+  }
+}
+
 void FleetMember::UpdateHosts(const proto::HelloReply& reply) {
   for (const proto::HostInfo& info : reply.hosts()) {
     const auto address = ParseAddress(info.peer_address());
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -19,6 +19,8 @@
 
 #include "fleet/backend_registry.h"
 #include "fleet/host_links.h"
+#include "quarantine/crash_evidence.h"
+#include "quarantine/quarantine_list.h"
 
 namespace sequoialb {
 
@@ -48,6 +50,10 @@
     // A backend server was added, changed or deregistered, or the list of live
     // fronts has changed.
     std::function<void()> on_backends;
+    // The quarantines in force have changed.
+    std::function<void(const Quarantines&)> on_quarantines;
+    // The parts of prompts whose sound answers are to be reported.
+    std::function<void(const std::set<std::string>&)> on_watched_parts;
     // Adds the fields that change from heartbeat to heartbeat.
     std::function<void(proto::HostHello&)> fill_hello;
   };
@@ -58,13 +64,20 @@
   void Tick(TimePoint now);
   void OnReply(const std::string& from, const proto::HelloReply& reply,
                TimePoint now);
+  // Reports crashes of backend servers, and parts of prompts that were answered
+  // without a crash. Crashes are reported without waiting for the next regular
+  // heartbeat.
+  void ReportCrashes(const std::vector<CrashRecord>& crashes,
+                     const std::map<std::string, TimePoint>& sound,
+                     TimePoint now);
   // Marks this host as leaving, from its next heartbeat on.
   void Leave() { options_.self.set_leaving(true); }
 
   const BackendDirectory& backends() const { return backends_; }
   const std::map<std::string, proto::HostInfo>& hosts() const { return hosts_; }
-  // Initial members of the store group, retiring hosts and live fronts of the
-  // last reply that a confirmed leader sent; all other fields are empty.
+  // Initial members of the store group, retiring hosts, live fronts and
+  // quarantines of the last reply that a confirmed leader sent; all other
+  // fields are empty.
   const proto::HelloReply& last_confirmed_reply() const {
     return last_confirmed_reply_;
   }
@@ -83,10 +96,12 @@
     TimePoint asked_at;
     uint64_t registry_incarnation = 0;
     uint64_t registry_cursor = 0;
+    uint64_t crash_cursor = 0;
   };
 
   std::set<std::string> HeartbeatTargets() const;
   void UpdateHosts(const proto::HelloReply& reply);
+  void UpdateQuarantines(const proto::HelloReply& reply);
   void ExtendAuthorityLease(const proto::HelloReply& reply);
 
   MemberOptions options_;
@@ -99,7 +114,10 @@
   bool has_catalog_ = false;
   uint64_t catalog_version_ = 0;
   TimePoint authority_until_;
+  CrashEvidence crash_evidence_;
+  std::set<std::string> watched_parts_;
   TimePoint next_heartbeat_;
+  TimePoint last_heartbeat_;
   uint64_t heartbeats_ = 0;
   // When a leader last confirmed a heartbeat.
   TimePoint confirmed_at_;
--- a/src/gateway/front_view.h
+++ b/src/gateway/front_view.h
@@ -13,6 +13,8 @@
 #include "gateway/backend_pool.h"
 #include "http/http_client.h"
 #include "observe/metrics.h"
+#include "quarantine/crash_recorder.h"
+#include "quarantine/quarantine_list.h"
 
 namespace sequoialb {
 
@@ -23,6 +25,7 @@
   // The front's authority lease, on the clock of BootNow.
   AuthorityStatus authority{BootNow(), TimePoint(), TimePoint()};
   bool draining = false;
+  Quarantines quarantines;
 
   // Returns whether the authority lease is valid, so that the front may act on
   // the catalog. Checked just before bytes are sent to a backend server,
@@ -40,6 +43,7 @@
   HttpClient client;
   FrontView view;
   BackendPool pool;
+  CrashRecorder crashes;
 
   FrontShared(EventLoop& event_loop, Metrics& all_metrics,
               const GatewayProtocol& gateway_protocol)
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -37,12 +37,13 @@
   return std::to_string(std::chrono::duration_cast<milliseconds>(d).count());
 }
 
-std::string Joined(const std::vector<std::string>& parts) {
-  std::string joined;
-  for (const std::string& part : parts) {
-    joined.append(joined.empty() ? "" : ",").append(part);
-  }
-  return joined;
+// Returns the refusal of a request that a quarantine covers.
+Error QuarantineError(const proto::Quarantine& quarantine, RunState run) {
+  return {ErrorCode::kQuarantined,
+          "requests whose prompt has " + PartsText(quarantine) +
+              " have crashed several backend servers; they are not sent to "
+              "any for the time being",
+          run, std::max<int64_t>(0, quarantine.until_unix_ms() - UnixMs())};
 }
 
 std::string_view HostWithoutPort(std::string_view host) {
@@ -66,6 +67,12 @@
   // it has not. Of an event stream only new events count, because a server in
   // trouble may send other bytes without end.
   TimePoint last_progress_at;
+  // When the current server's answer began, or TimePoint().
+  TimePoint begun_at;
+  // The current server has not crashed of the request.
+  bool sound = false;
+  // The end of the current answer is marked by its framing.
+  bool end_marked = false;
   TimePoint deadline;
   TimerId deadline_timer = 0;
   bool waiting = false;
@@ -139,6 +146,12 @@
       return;
     }
   }
+  if (const auto* quarantine =
+          FindQuarantine(front_.view.quarantines, caller.shared_parts)) {
+    const Error error = QuarantineError(*quarantine, RunState::kNotRun);
+    refuse(error.code, error.detail, error.retry_after_ms);
+    return;
+  }
   if (route->kind == RouteKind::kBatch) {
     if (account == nullptr) {
       refuse(ErrorCode::kNoKey,
@@ -210,6 +223,9 @@
 }
 
 bool Gateway::TrySend(Request& request) {
+  if (EndIfQuarantined(request)) {
+    return true;
+  }
   const TimePoint now = front_.loop.now();
   if (!queue_.empty() && !request.waiting) {
     // Queued requests go first, in the order of the queue.
@@ -228,6 +244,30 @@
   return true;
 }
 
+bool Gateway::EndIfQuarantined(Request& request) {
+  const auto* quarantine =
+      FindQuarantine(front_.view.quarantines, request.caller.shared_parts);
+  if (quarantine == nullptr) {
+    return false;
+  }
+  End(request,
+      QuarantineError(*quarantine, request.may_have_run ? RunState::kUnknown
+                                                        : RunState::kNotRun));
+  return true;
+}
+
+void Gateway::EndQuarantined() {
+  std::vector<Request*> waiting;
+  for (const auto& [number, request] : requests_) {
+    if (request->waiting) {
+      waiting.push_back(request.get());
+    }
+  }
+  for (Request* request : waiting) {
+    EndIfQuarantined(*request);
+  }
+}
+
 std::string Gateway::ForwardedBytes(const Request& request,
                                     const std::string& backend,
                                     int64_t left_ms) const {
@@ -278,6 +318,8 @@
   request.backend = choice.backend;
   request.sent_at = now;
   request.last_progress_at = TimePoint();
+  request.begun_at = TimePoint();
+  request.sound = false;
   request.item_stopped = choice.stop_item;
   request.may_have_run_before = request.may_have_run;
   request.may_have_run = true;
@@ -355,6 +397,8 @@
 
 void Gateway::OnHead(Request& request, const ResponseHead& head) {
   const TimePoint now = front_.loop.now();
+  front_.crashes.RecordAlive(request.backend, now);
+  request.end_marked = head.framing != BodyFraming::kUntilClose;
   const BackendAnswer answer = front_.protocol.DecodeAnswer(head);
   if (answer.load) {
     front_.pool.RecordServerLoad(request.backend, *answer.load, now);
@@ -403,7 +447,19 @@
   const TimePoint now = front_.loop.now();
   front_.pool.RecordProgress(request.backend,
                              request.last_progress_at == TimePoint(), now);
+  front_.crashes.RecordAlive(request.backend, now);
   request.last_progress_at = now;
+  if (request.begun_at == TimePoint()) {
+    request.begun_at = now;
+  }
+  if (!request.sound && CrashRecorder::HasSurvived(request.begun_at, now)) {
+    RecordSound(request);
+  }
+}
+
+void Gateway::RecordSound(Request& request) {
+  request.sound = true;
+  front_.crashes.RecordSound(request.caller.shared_parts, front_.loop.now());
 }
 
 void Gateway::ForwardHead(Request& request, const ResponseHead& head) {
@@ -492,6 +548,11 @@
     return;
   }
   front_.pool.RecordSuccess(request.backend);
+  front_.crashes.RecordAlive(request.backend, front_.loop.now());
+  // A crash may look like the end of an answer that ends with its connection.
+  if (request.end_marked && !request.sound) {
+    RecordSound(request);
+  }
   const Duration held = front_.loop.now() - request.sent_at;
   mean_hold_ +=
       mean_hold_.count() == 0 ? held : (held - mean_hold_) / kMeanHoldDivisor;
@@ -504,12 +565,14 @@
   const std::string backend = request.backend;
   if (failure == CallFailure::kBroken) {
     const TimePoint now = front_.loop.now();
+    front_.crashes.RecordBroken(backend, request.caller.shared_parts,
+                                request.begun_at, now);
     LogInfo("attempt_broken",
             {{"request", request.caller.id},
              {"account", request.account},
              {"route", request.route->name},
              {"backend", backend},
-             {"shared_parts", Joined(request.caller.shared_parts)},
+             {"shared_parts", PartsText(request.caller.shared_parts)},
              {"ran_ms", WholeMs(now - request.sent_at)},
              {"answer_begun",
               request.last_progress_at != TimePoint() ? "yes" : "no"},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -48,6 +48,10 @@
   // servers have changed.
   void DispatchQueued();
 
+  // Refuses the waiting requests that a quarantine covers. Call after the
+  // quarantines have changed.
+  void EndQuarantined();
+
   // Retries at other servers the requests whose servers have stalled.
   void CheckStalls();
 
@@ -60,12 +64,17 @@
              CallerRequest caller, const Route& route, const Account* account);
   void OnToken(uint64_t number, const RateLimiter::Answer& answer);
   void SendOrQueue(Request& request);
+  // Sends the request if a server has a free slot, or ends it if it must not be
+  // sent. Returns false if it has to wait.
   bool TrySend(Request& request);
+  bool EndIfQuarantined(Request& request);
   void Send(Request& request, const Choice& choice);
   std::string ForwardedBytes(const Request& request, const std::string& backend,
                              int64_t left_ms) const;
   void OnHead(Request& request, const ResponseHead& head);
   void RecordProgress(Request& request);
+  // Records that the current server has not crashed of the request.
+  void RecordSound(Request& request);
   void ForwardHead(Request& request, const ResponseHead& head);
   void OnData(Request& request, std::string_view data);
   // Forwards the whole events among the received bytes.
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -80,9 +80,6 @@
   virtual ~GatewayProtocol() = default;
 
   virtual CallerRequest DecodeRequest(const RequestHead& head) const = 0;
-  // Returns the shared parts of the prompt that the headers describe.
-  virtual std::vector<std::string> DecodeSharedParts(
-      const HttpHeaders& headers) const = 0;
   // Returns the headers to send to a backend server: the caller's headers,
   // without those of one hop, and the fields that the gateway adds.
   virtual HttpHeaders ForwardHeaders(const HttpHeaders& headers,
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -37,6 +37,14 @@
   std::optional<uint64_t> last_event;
   bool streaming = false;
   bool received_data = false;
+  // The parts of the item's prompt that other requests may have too.
+  std::vector<std::string> shared_parts;
+  // When the server's answer made its first progress, or TimePoint().
+  TimePoint begun_at;
+  // The server has not crashed of the item.
+  bool sound = false;
+  // The end of the answer is marked by its framing.
+  bool end_marked = false;
   // Set when the response status alone decides the outcome.
   std::optional<proto::ItemOutcome::Kind> status_outcome;
 };
@@ -61,6 +69,8 @@
   run->offer = offer;
   run->accepted_at = front_.loop.now();
   run->output = offer.output();
+  run->shared_parts = {offer.item().shared_parts().begin(),
+                       offer.item().shared_parts().end()};
   if (offer.has_last_event()) {
     run->last_event = offer.last_event();
   }
@@ -86,6 +96,14 @@
     End(run, proto::ItemOutcome::kNeverPossible);
     return true;
   }
+  if (const auto* quarantine =
+          FindQuarantine(front_.view.quarantines, run.shared_parts)) {
+    LogInfo("item_quarantined", {{"job", run.offer.job()},
+                                 {"item", run.offer.item().id()},
+                                 {"parts", PartsText(*quarantine)}});
+    End(run, proto::ItemOutcome::kReturned);
+    return true;
+  }
   const std::string& service = PickTarget(*route, 0);
   const auto choice = front_.pool.ChooseItem(service, front_.loop.now());
   if (!choice) {
@@ -132,23 +150,51 @@
   events.on_data = [this, &run](std::string_view data) { OnData(run, data); };
   events.on_complete = [this, &run] {
     const bool whole = run.streaming && !run.parser.partial();
+    front_.crashes.RecordAlive(run.backend, front_.loop.now());
     if (whole) {
       front_.pool.RecordSuccess(run.backend);
     }
+    if (whole && run.end_marked && !run.sound) {
+      RecordSound(run);
+    }
     End(run,
         run.status_outcome.value_or(whole ? proto::ItemOutcome::kComplete
                                           : proto::ItemOutcome::kReturned));
   };
-  events.on_failure = [this, &run](CallFailure) {
-    front_.pool.RecordFailure(run.backend, front_.loop.now());
-    End(run, proto::ItemOutcome::kReturned);
+  events.on_failure = [this, &run](CallFailure failure) {
+    OnFailure(run, failure);
   };
   run.call = front_.client.Start(choice.address, std::move(options),
                                  std::move(events));
 }
 
+void ItemRunner::OnFailure(Run& run, CallFailure failure) {
+  const TimePoint now = front_.loop.now();
+  front_.pool.RecordFailure(run.backend, now);
+  if (failure == CallFailure::kBroken) {
+    front_.crashes.RecordBroken(run.backend, run.shared_parts, run.begun_at,
+                                now);
+    LogInfo("item_attempt_broken",
+            {{"job", run.offer.job()},
+             {"item", run.offer.item().id()},
+             {"account", run.offer.account()},
+             {"backend", run.backend},
+             {"shared_parts", PartsText(run.shared_parts)},
+             {"answer_begun", run.received_data ? "yes" : "no"},
+             {"load", front_.pool.Describe(run.backend, now)}});
+  }
+  End(run, proto::ItemOutcome::kReturned);
+}
+
+void ItemRunner::RecordSound(Run& run) {
+  run.sound = true;
+  front_.crashes.RecordSound(run.shared_parts, front_.loop.now());
+}
+
 void ItemRunner::OnHead(Run& run, const ResponseHead& head) {
   const TimePoint now = front_.loop.now();
+  front_.crashes.RecordAlive(run.backend, now);
+  run.end_marked = head.framing != BodyFraming::kUntilClose;
   const BackendAnswer answer = front_.protocol.DecodeAnswer(head);
   if (answer.load) {
     front_.pool.RecordServerLoad(run.backend, *answer.load, now);
@@ -193,7 +239,15 @@
     run.last_progress_at = front_.loop.now();
     front_.pool.RecordProgress(run.backend, !run.received_data,
                                run.last_progress_at);
+    front_.crashes.RecordAlive(run.backend, run.last_progress_at);
+    if (!run.received_data) {
+      run.begun_at = run.last_progress_at;
+    }
     run.received_data = true;
+    if (!run.sound &&
+        CrashRecorder::HasSurvived(run.begun_at, run.last_progress_at)) {
+      RecordSound(run);
+    }
   }
   if (run.parser.too_long() || run.output.size() > kMaxOutputBytes) {
     RejectOutput(run);
--- a/src/jobs/item_scheduler.cc
+++ b/src/jobs/item_scheduler.cc
@@ -108,6 +108,13 @@
   return FromSeconds(mean_run_s_ * remaining_fraction * kInterruptionFactor);
 }
 
+bool ItemScheduler::IsQuarantined(const JobItemState& item) const {
+  return !quarantines_.empty() &&
+         FindQuarantine(quarantines_, {item.item->shared_parts().begin(),
+                                       item.item->shared_parts().end()}) !=
+             nullptr;
+}
+
 std::vector<ItemScheduler::Candidate> ItemScheduler::WaitingByPriority(
     TimePoint now) const {
   std::vector<Candidate> waiting;
@@ -120,7 +127,8 @@
       const Key key{id, item.id()};
       const auto paused = not_before_.find(key);
       if (item.finished || running_.count(key) > 0 ||
-          (paused != not_before_.end() && now < paused->second)) {
+          (paused != not_before_.end() && now < paused->second) ||
+          IsQuarantined(item)) {
         continue;
       }
       const milliseconds due_left(DueAt(job) - unix_now);
--- a/src/jobs/item_scheduler.h
+++ b/src/jobs/item_scheduler.h
@@ -34,6 +34,7 @@
 #include "base/time.h"
 #include "jobs/job_table.h"
 #include "proto/fleet.pb.h"
+#include "quarantine/quarantine_list.h"
 
 namespace sequoialb {
 
@@ -64,6 +65,11 @@
   // Drops the state of an item whose result has been recorded.
   void Remove(const std::string& job, const std::string& item);
 
+  // Sets the quarantines in force; items that one covers are not offered.
+  void SetQuarantines(const Quarantines& quarantines) {
+    quarantines_ = quarantines;
+  }
+
   // Unassigns the items of fronts that have stopped reporting.
   void Tick(TimePoint now);
 
@@ -108,6 +114,7 @@
                     TimePoint now) const;
   void OfferItems(const std::string& front, size_t free_slots, TimePoint now,
                   proto::ItemOffers& answer);
+  bool IsQuarantined(const JobItemState& item) const;
   std::vector<Candidate> WaitingByPriority(TimePoint now) const;
   void AddOffer(const std::string& front, const Candidate& next, TimePoint now,
                 proto::ItemOffers& answer);
@@ -116,6 +123,7 @@
   static int64_t DueAt(const JobState& job);
 
   const JobTable& jobs_;
+  Quarantines quarantines_;
   TimePoint no_offers_until_;
   uint32_t next_attempt_ = 1;
   std::map<Key, Running> running_;
--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -75,6 +75,7 @@
   }
   retiring_hosts_ = {confirmed.retiring_hosts().begin(),
                      confirmed.retiring_hosts().end()};
+  scheduler_.SetQuarantines(confirmed.quarantines());
   for (const auto& [host, info] : hosts) {
     if (!info.store() || info.node().empty()) {
       continue;
--- /dev/null
+++ b/src/quarantine/crash_analysis.cc
@@ -0,0 +1,261 @@
+#include "quarantine/crash_analysis.h"
+
+#include <algorithm>
+#include <set>
+
+namespace sequoialb {
+namespace {
+
+// Reports about one server within this time concern the same crash.
+constexpr milliseconds kMergeTime{200};
+constexpr milliseconds kMaxAge{120'000};
+// Watched parts come from crashes that are at most this old.
+constexpr milliseconds kWatchTime{10'000};
+constexpr size_t kMaxCrashes = 256;
+constexpr size_t kMaxRequestsOfCrash = 256;
+constexpr size_t kMaxWatched = 64;
+constexpr size_t kMaxSoundParts = 8'192;
+// A part counts as suspect as the part with the most crashes when it has at
+// least this fraction of them; among these the rarest part is chosen.
+constexpr double kComparableFraction = 0.75;
+
+bool Contains(const std::vector<std::string>& parts, const std::string& part) {
+  return std::find(parts.begin(), parts.end(), part) != parts.end();
+}
+
+bool IsExplained(const std::vector<std::vector<std::string>>& requests,
+                 const Quarantines& active) {
+  return std::any_of(requests.begin(), requests.end(),
+                     [&](const std::vector<std::string>& parts) {
+                       return FindQuarantine(active, parts) != nullptr;
+                     });
+}
+
+bool HasAll(const std::vector<std::string>& parts,
+            const std::vector<std::string>& wanted) {
+  return std::all_of(
+      wanted.begin(), wanted.end(),
+      [&](const std::string& part) { return Contains(parts, part); });
+}
+
+}  // namespace
+
+void CrashAnalysis::AddCrash(
+    const std::string& backend, TimePoint at,
+    const std::vector<std::vector<std::string>>& requests) {
+  changed_ = true;
+  auto same =
+      std::find_if(crashes_.begin(), crashes_.end(), [&](const Crash& crash) {
+        return crash.backend == backend && crash.at < at + kMergeTime &&
+               at < crash.at + kMergeTime;
+      });
+  if (same == crashes_.end()) {
+    const auto position = std::upper_bound(
+        crashes_.begin(), crashes_.end(), at,
+        [](TimePoint time, const Crash& crash) { return time < crash.at; });
+    same = crashes_.insert(position, {backend, at, {}});
+  }
+  for (const std::vector<std::string>& parts : requests) {
+    if (same->requests.size() < kMaxRequestsOfCrash) {
+      same->requests.push_back(parts);
+    }
+  }
+  if (crashes_.size() > kMaxCrashes) {
+    crashes_.pop_front();
+  }
+}
+
+void CrashAnalysis::AddSound(const std::string& part, TimePoint at) {
+  changed_ = true;
+  if (sound_at_.size() < kMaxSoundParts || sound_at_.count(part) > 0) {
+    TimePoint& last = sound_at_[part];
+    last = std::max(last, at);
+  }
+}
+
+bool CrashAnalysis::IsSoundSince(const std::string& part, TimePoint at) const {
+  const auto found = sound_at_.find(part);
+  return found != sound_at_.end() && found->second >= at;
+}
+
+void CrashAnalysis::Expire(TimePoint now) {
+  while (!crashes_.empty() && now - crashes_.front().at > kMaxAge) {
+    crashes_.pop_front();
+  }
+  for (auto it = sound_at_.begin(); it != sound_at_.end();) {
+    it = now - it->second > kMaxAge ? sound_at_.erase(it) : std::next(it);
+  }
+}
+
+std::map<std::string, CrashAnalysis::Suspicion> CrashAnalysis::Suspicions(
+    const Quarantines& active) const {
+  std::map<std::string, Suspicion> suspicions;
+  for (const Crash& crash : crashes_) {
+    const bool explained = IsExplained(crash.requests, active);
+    std::set<std::string> counted;
+    for (const std::vector<std::string>& parts : crash.requests) {
+      for (const std::string& part : parts) {
+        if (IsSoundSince(part, crash.at)) {
+          continue;
+        }
+        Suspicion& suspicion = suspicions[part];
+        ++suspicion.requests;
+        if (!counted.insert(part).second) {
+          continue;
+        }
+        const bool new_moment = suspicion.crashes == 0 ||
+                                crash.at - suspicion.moment_at >= kMomentTime;
+        if (suspicion.crashes == 0) {
+          suspicion.first_at = crash.at;
+        }
+        if (new_moment) {
+          suspicion.moment_at = crash.at;
+        }
+        ++suspicion.crashes;
+        suspicion.moments += new_moment ? 1 : 0;
+        suspicion.unexplained += explained ? 0 : 1;
+      }
+    }
+  }
+  return suspicions;
+}
+
+std::vector<std::string> CrashAnalysis::Combination(
+    const std::string& part) const {
+  std::optional<std::vector<std::string>> common;
+  TimePoint first_at;
+  for (const Crash& crash : crashes_) {
+    if (IsSoundSince(part, crash.at)) {
+      continue;
+    }
+    for (const std::vector<std::string>& parts : crash.requests) {
+      if (!Contains(parts, part)) {
+        continue;
+      }
+      if (!common) {
+        common = parts;
+        first_at = crash.at;
+      }
+      common->erase(std::remove_if(common->begin(), common->end(),
+                                   [&](const std::string& other) {
+                                     return !Contains(parts, other) ||
+                                            IsSoundSince(other, first_at);
+                                   }),
+                    common->end());
+    }
+  }
+  return common.value_or(std::vector<std::string>());
+}
+
+// A part of a quarantined combination that has been answered since the last
+// crash with the combination is not the cause.
+std::optional<QuarantineChange> CrashAnalysis::NarrowByAnswers(
+    const Quarantines& active) const {
+  for (const proto::Quarantine& quarantine : active) {
+    const std::vector<std::string> parts(quarantine.parts().begin(),
+                                         quarantine.parts().end());
+    std::optional<TimePoint> last_crash;
+    for (const Crash& crash : crashes_) {
+      if (std::any_of(crash.requests.begin(), crash.requests.end(),
+                      [&](const std::vector<std::string>& request) {
+                        return HasAll(request, parts);
+                      })) {
+        last_crash = crash.at;
+      }
+    }
+    std::vector<std::string> suspect;
+    std::copy_if(parts.begin(), parts.end(), std::back_inserter(suspect),
+                 [&](const std::string& part) {
+                   return !IsSoundSince(part, last_crash.value_or(TimePoint()));
+                 });
+    if (suspect.size() < parts.size()) {
+      return QuarantineChange{parts, suspect, 0,
+                              "a part was answered without a crash"};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<QuarantineChange> CrashAnalysis::Decide(const Quarantines& active,
+                                                      TimePoint now) {
+  Expire(now);
+  if (changed_) {
+    changed_ = false;
+    decide_until_ = now + kObservationTime * 2;
+  }
+  if (now > decide_until_) {
+    return std::nullopt;
+  }
+  if (auto narrowed = NarrowByAnswers(active)) {
+    return narrowed;
+  }
+  const std::map<std::string, Suspicion> suspicions = Suspicions(active);
+  size_t most_crashes = 0;
+  for (const auto& [part, suspicion] : suspicions) {
+    if (suspicion.unexplained > 0) {
+      most_crashes = std::max(most_crashes, suspicion.crashes);
+    }
+  }
+  const std::string* chosen = nullptr;
+  size_t fewest_requests = 0;
+  for (const auto& [part, suspicion] : suspicions) {
+    const bool enough = suspicion.unexplained > 0 &&
+                        suspicion.crashes >= kMinCrashes &&
+                        suspicion.moments >= kMinMoments &&
+                        now - suspicion.first_at >= kObservationTime;
+    const bool comparable =
+        static_cast<double>(suspicion.crashes) >=
+        kComparableFraction * static_cast<double>(most_crashes);
+    if (enough && comparable &&
+        (chosen == nullptr || suspicion.requests < fewest_requests)) {
+      chosen = &part;
+      fewest_requests = suspicion.requests;
+    }
+  }
+  if (chosen == nullptr) {
+    return std::nullopt;
+  }
+  QuarantineChange change;
+  change.begins = Combination(*chosen);
+  change.crashes = suspicions.at(*chosen).crashes;
+  change.reason = "every request with these parts crashed its server";
+  // A narrower combination replaces a wider one.
+  for (const proto::Quarantine& quarantine : active) {
+    const std::vector<std::string> parts(quarantine.parts().begin(),
+                                         quarantine.parts().end());
+    if (HasAll(parts, change.begins)) {
+      change.ends = parts;
+      break;
+    }
+  }
+  return change;
+}
+
+std::vector<std::string> CrashAnalysis::WatchedParts(const Quarantines& active,
+                                                     TimePoint now) const {
+  std::set<std::string> watched;
+  for (const proto::Quarantine& quarantine : active) {
+    watched.insert(quarantine.parts().begin(), quarantine.parts().end());
+  }
+  std::map<std::string, size_t> recent;
+  for (const Crash& crash : crashes_) {
+    if (now - crash.at > kWatchTime) {
+      continue;
+    }
+    std::set<std::string> counted;
+    for (const std::vector<std::string>& parts : crash.requests) {
+      counted.insert(parts.begin(), parts.end());
+    }
+    for (const std::string& part : counted) {
+      ++recent[part];
+    }
+  }
+  for (const auto& [part, crashes] : recent) {
+    if (crashes >= 2 && watched.size() < kMaxWatched) {
+      watched.insert(part);
+    }
+  }
+  return {watched.begin(), watched.end()};
+}
+
+}  // namespace sequoialb
--- /dev/null
+++ b/src/quarantine/crash_evidence.cc
@@ -0,0 +1,61 @@
+#include "quarantine/crash_evidence.h"
+
+namespace sequoialb {
+namespace {
+
+constexpr size_t kMaxCrashes = 128;
+// Longer than the time in which a control host is sure to get a heartbeat.
+constexpr milliseconds kSoundMaxAge{5'000};
+
+uint32_t AgeMs(TimePoint at, TimePoint now) {
+  return static_cast<uint32_t>(RemainingMs(now, at));
+}
+
+}  // namespace
+
+void CrashEvidence::AddCrash(const CrashRecord& record) {
+  NumberedCrash numbered;
+  numbered.at = record.at;
+  proto::BackendCrash& crash = numbered.crash;
+  crash.set_number(++last_number_);
+  crash.set_backend(record.backend);
+  for (const std::vector<std::string>& parts : record.requests) {
+    *crash.add_requests()->mutable_parts() = {parts.begin(), parts.end()};
+  }
+  crashes_.push_back(std::move(numbered));
+  if (crashes_.size() > kMaxCrashes) {
+    crashes_.pop_front();
+  }
+}
+
+void CrashEvidence::AddSound(const std::map<std::string, TimePoint>& sound,
+                             TimePoint now) {
+  for (const auto& [part, at] : sound) {
+    sound_[part] = at;
+  }
+  for (auto it = sound_.begin(); it != sound_.end();) {
+    it = now - it->second > kSoundMaxAge ? sound_.erase(it) : std::next(it);
+  }
+}
+
+void CrashEvidence::Fill(uint64_t cursor, TimePoint now,
+                         proto::HostHello& hello) const {
+  hello.clear_crashes();
+  hello.clear_sound_answers();
+  for (const NumberedCrash& numbered : crashes_) {
+    if (numbered.crash.number() > cursor) {
+      proto::BackendCrash& crash = *hello.add_crashes();
+      crash = numbered.crash;
+      crash.set_ago_ms(AgeMs(numbered.at, now));
+    }
+  }
+  for (const auto& [part, at] : sound_) {
+    if (now - at <= kSoundMaxAge) {
+      proto::SoundAnswer& answer = *hello.add_sound_answers();
+      answer.set_part(part);
+      answer.set_ago_ms(AgeMs(at, now));
+    }
+  }
+}
+
+}  // namespace sequoialb
