Test quarantines: replays of crashes, reports, refusals, waiting items

Cause: the quarantine of prompt parts landed with its end-to-end test alone. Ruled out: nothing. Change: quarantine_test replays crashes on fleets of 12 and 78 servers, with a harmful part and without one, and covers the recorder, the evidence and the control host's part; gateway_test covers refusals on arrival, while waiting and before a retry; jobs_test covered items.

--- a/test/correctness/gateway_test.cc
+++ b/test/correctness/gateway_test.cc
@@ -89,12 +89,22 @@
     thread_.Run([this] { front_->view.authority.lease_until = BootNow(); });
   }
 
-  // Sends a request and returns all bytes of the answer.
-  std::string SendRequest() {
+  void Quarantine(const std::vector<std::string>& parts) {
+    thread_.Run([&] {
+      *front_->view.quarantines.Add()->mutable_parts() = {parts.begin(),
+                                                          parts.end()};
+      gateway_->EndQuarantined();
+    });
+  }
+
+  // Sends a request and returns all bytes of the answer. `fields` are further
+  // header lines.
+  std::string SendRequest(const std::string& fields = "") {
     RawClient client(server_->port());
     client.Send(
         "POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q\r\n"
-        "Deadline-Ms: 9000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        "Deadline-Ms: 9000\r\nConnection: close\r\n" +
+        fields + "Content-Length: 0\r\n\r\n");
     return client.ReadAll();
   }
 
@@ -197,6 +207,61 @@
   EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
 }
 
+constexpr char kHarmfulPrompt[] = "Prompt-Prefix: aa:9,dead:9,own:9\r\n";
+
+TEST_F(GatewayTest, AQuarantinedRequestIsRefusedAtOnceAsNotRun) {
+  ScriptedServer good(kOkResponse);
+  Open(RouteKind::kIdempotent, {&good});
+  Quarantine({"aa", "dead"});
+  const std::string answer = SendRequest(kHarmfulPrompt);
+  EXPECT_EQ(StatusOf(answer), 503) << answer;
+  EXPECT_NE(answer.find("\"run\":\"not_run\""), std::string::npos) << answer;
+  EXPECT_EQ(good.requests, 0);
+  EXPECT_EQ(StatusOf(SendRequest("Prompt-Prefix: aa:9,bb:9,own:9\r\n")), 200);
+  // The last part belongs to one request or session and is not looked at.
+  EXPECT_EQ(StatusOf(SendRequest("Prompt-Prefix: aa:9,dead:9\r\n")), 200);
+}
+
+// Guards against a retry that crashes another server after the quarantine has
+// begun.
+TEST_F(GatewayTest, AQuarantinedRequestIsNotRetried) {
+  ScriptedServer failing("", [this] { Quarantine({"dead"}); });
+  ScriptedServer good(kOkResponse);
+  Open(RouteKind::kIdempotent, {&failing, &good});
+  const std::string answer = SendRequest(kHarmfulPrompt);
+  EXPECT_EQ(StatusOf(answer), 502) << answer;
+  EXPECT_NE(answer.find("\"run\":\"unknown\""), std::string::npos) << answer;
+  EXPECT_EQ(failing.requests, 1);
+  EXPECT_EQ(good.requests, 0);
+}
+
+TEST_F(GatewayTest, AWaitingRequestIsRefusedWhenItsQuarantineBegins) {
+  ScriptedServer good(kOkResponse);
+  Open(RouteKind::kIdempotent, {&good});
+  thread_.Run([this] {
+    for (int i = 0; i < 4; ++i) {
+      front_->pool.RecordSent("e1", false);
+    }
+  });
+  RawClient client(server_->port());
+  client.Send(
+      "POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q\r\n"
+      "Deadline-Ms: 9000\r\nConnection: close\r\n" +
+      std::string(kHarmfulPrompt) + "Content-Length: 0\r\n\r\n");
+  const auto waiting = [this] {
+    size_t count = 0;
+    thread_.Run([&] { count = gateway_->waiting(); });
+    return count;
+  };
+  while (waiting() == 0) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  Quarantine({"dead"});
+  EXPECT_EQ(waiting(), 0U);
+  EXPECT_EQ(StatusOf(client.ReadAll()), 503);
+  EXPECT_EQ(good.requests, 0);
+}
+
 constexpr char kStreamHead[] =
     "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nResponse-Stamp: s\r\n"
     "Content-Type: text/event-stream\r\n\r\n";
--- a/test/correctness/jobs_test.cc
+++ b/test/correctness/jobs_test.cc
@@ -136,6 +136,22 @@
   ItemScheduler scheduler_{table_};
 };
 
+TEST_F(ItemSchedulerTest, QuarantinedItemsWait) {
+  proto::JobRecord job = Job("j", 2);
+  job.mutable_items(0)->add_shared_parts("aa");
+  job.mutable_items(0)->add_shared_parts("dead");
+  job.mutable_items(1)->add_shared_parts("aa");
+  ASSERT_TRUE(table_.Apply(Submit(job)).has_value());
+  Quarantines quarantines;
+  quarantines.Add()->add_parts("dead");
+  scheduler_.SetQuarantines(quarantines);
+  const proto::ItemOffers offers = Report("front", At(1'000), 8);
+  ASSERT_EQ(offers.offers_size(), 1);
+  EXPECT_EQ(offers.offers(0).item().id(), "j-1");
+  scheduler_.SetQuarantines({});
+  EXPECT_EQ(Report("front", At(1'100), 8).offers_size(), 1);
+}
+
 TEST_F(ItemSchedulerTest, ANewLeaderCollectsReportsBeforeItOffersItems) {
   Accept(Job("j", 1));
   EXPECT_EQ(Report("f1", At(100), 5).offers_size(), 0);
--- a/test/correctness/platform_adapter_test.cc
+++ b/test/correctness/platform_adapter_test.cc
@@ -124,6 +124,7 @@
   EXPECT_EQ(request.prompt_tokens, 10U);
   EXPECT_EQ(request.output_tokens, 20U);
   EXPECT_EQ(request.session, "cd");
+  EXPECT_EQ(request.shared_parts, std::vector<std::string>{"ab"});
   ForwardFields fields;
   fields.id = "r1";
   fields.backend = "i-7";
@@ -172,6 +173,14 @@
                   "Body":"q83vEjRWeJA=","Tokens":940}]})");
   ASSERT_TRUE(record.has_value()) << record.error().detail;
   EXPECT_EQ(record->items(0).body().size(), 8U);
+  EXPECT_TRUE(record->items(0).shared_parts().empty());
+  const auto shared = adapter.DecodeSubmission(
+      submit, R"({"Items":[{"Id":"i1","Path":"/b/1","Tokens":9,
+                  "Headers":{"Prompt-Prefix":"ab:8, cd:2,ef:1"}}]})");
+  ASSERT_TRUE(shared.has_value()) << shared.error().detail;
+  EXPECT_EQ(std::vector<std::string>(shared->items(0).shared_parts().begin(),
+                                     shared->items(0).shared_parts().end()),
+            (std::vector<std::string>{"ab", "cd"}));
   for (const char* bad : {"", "{}", R"({"Items":[{}]})", R"({"Items":[1]})"}) {
     EXPECT_FALSE(adapter.DecodeSubmission(submit, bad).has_value()) << bad;
   }
--- /dev/null
+++ b/test/correctness/quarantine_test.cc
@@ -0,0 +1,550 @@
+// Tests how crashes of backend servers are recognized, which parts of prompts
+// are quarantined for them, and how the control hosts and fronts exchange both.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+#include "../fakes/state_copy.h"
+#include "fleet/quarantine_service.h"
+#include "quarantine/crash_analysis.h"
+#include "quarantine/crash_evidence.h"
+#include "quarantine/crash_recorder.h"
+
+namespace sequoialb {
+namespace {
+
+using Parts = std::vector<std::string>;
+
+const TimePoint kStart = TimePoint(seconds(1'000));
+
+TimePoint At(int64_t ms) { return kStart + milliseconds(ms); }
+
+void Apply(const QuarantineChange& change, Quarantines& active) {
+  for (int i = 0; i < active.size(); ++i) {
+    if (Parts(active[i].parts().begin(), active[i].parts().end()) ==
+        change.ends) {
+      active.erase(active.begin() + i);
+      break;
+    }
+  }
+  if (!change.begins.empty()) {
+    *active.Add()->mutable_parts() = {change.begins.begin(),
+                                      change.begins.end()};
+  }
+}
+
+// Runs the analysis until it decides nothing more.
+void DecideAll(CrashAnalysis& analysis, TimePoint now, Quarantines& active) {
+  for (int i = 0; i < 10; ++i) {
+    const auto change = analysis.Decide(active, now);
+    if (!change) {
+      return;
+    }
+    Apply(*change, active);
+  }
+  ADD_FAILURE() << "the analysis keeps changing its decision";
+}
+
+std::vector<std::string> Texts(const Quarantines& active) {
+  std::vector<std::string> texts;
+  for (const proto::Quarantine& quarantine : active) {
+    texts.push_back(PartsText(quarantine));
+  }
+  return texts;
+}
+
+// Crashes of servers e0, e1, ... 100 ms apart, each with a harmful request and
+// sound ones of the frequent first part.
+void AddCrashes(CrashAnalysis& analysis, int count, const Parts& harmful,
+                int64_t first_ms = 0) {
+  for (int i = 0; i < count; ++i) {
+    const std::string n = std::to_string(first_ms + i);
+    analysis.AddCrash("e" + n, At(first_ms + 100 * i),
+                      {{"aa", "x" + n}, harmful, {"aa", "y" + n}});
+  }
+}
+
+TEST(CrashAnalysis, QuarantinesWhatAllCrashesHaveInCommon) {
+  CrashAnalysis analysis;
+  Quarantines active;
+  AddCrashes(analysis, 3, {"aa", "bb", "dead"});
+  analysis.AddSound("aa", At(250));
+  DecideAll(analysis, At(900), active);
+  EXPECT_TRUE(active.empty());
+  analysis.AddCrash("e9", At(950), {{"aa", "z"}, {"aa", "bb", "dead"}});
+  analysis.AddSound("aa", At(960));
+  DecideAll(analysis, At(1'000), active);
+  EXPECT_EQ(Texts(active), Parts{"bb+dead"});
+}
+
+TEST(CrashAnalysis, WaitsForSoundAnswersBeforeItDecides) {
+  CrashAnalysis analysis;
+  Quarantines active;
+  for (int i = 0; i < 6; ++i) {
+    analysis.AddCrash("e" + std::to_string(i), At(60 * i), {{"aa", "dead"}});
+  }
+  DecideAll(analysis, At(330), active);
+  EXPECT_TRUE(active.empty());
+  analysis.AddSound("aa", At(340));
+  DecideAll(analysis, At(410), active);
+  EXPECT_EQ(Texts(active), Parts{"dead"});
+}
+
+// Guards the sound requests that share a part with the harmful ones.
+TEST(CrashAnalysis, NarrowsACombinationOnceAPartOfItIsAnswered) {
+  CrashAnalysis analysis;
+  Quarantines active;
+  AddCrashes(analysis, 4, {"aa", "bb", "dead"});
+  analysis.AddSound("aa", At(400));
+  DecideAll(analysis, At(500), active);
+  EXPECT_EQ(Texts(active), Parts{"bb+dead"});
+  analysis.AddSound("bb", At(600));
+  DecideAll(analysis, At(700), active);
+  EXPECT_EQ(Texts(active), Parts{"dead"});
+}
+
+// The harmful part comes with others than before: one more crash is enough.
+TEST(CrashAnalysis, NarrowsACombinationAfterACrashWithoutAPartOfIt) {
+  CrashAnalysis analysis;
+  Quarantines active;
+  AddCrashes(analysis, 4, {"aa", "bb", "dead"});
+  analysis.AddSound("aa", At(400));
+  DecideAll(analysis, At(500), active);
+  analysis.AddCrash("f", At(3'000), {{"aa", "cc", "dead"}});
+  DecideAll(analysis, At(3'050), active);
+  EXPECT_EQ(Texts(active), Parts{"dead"});
+}
+
+TEST(CrashAnalysis, ReleasesAPartThatIsAnswered) {
+  CrashAnalysis analysis;
+  Quarantines active;
+  AddCrashes(analysis, 4, {"aa", "rare"});
+  analysis.AddSound("aa", At(400));
+  DecideAll(analysis, At(500), active);
+  EXPECT_EQ(Texts(active), Parts{"rare"});
+  analysis.AddSound("rare", At(550));
+  DecideAll(analysis, At(600), active);
+  EXPECT_TRUE(active.empty());
+}
+
+TEST(CrashAnalysis, FindsTwoHarmfulPartsAtOnce) {
+  CrashAnalysis analysis;
+  Quarantines active;
+  for (int i = 0; i < 6; ++i) {
+    const std::string n = std::to_string(i);
+    analysis.AddCrash("e" + n, At(150 * i), {{"aa", "dead"}, {"aa", "x" + n}});
+    analysis.AddCrash("f" + n, At(150 * i + 75),
+                      {{"aa", "lethal"}, {"aa", "y" + n}});
+    analysis.AddSound("aa", At(150 * i + 80));
+  }
+  DecideAll(analysis, At(1'000), active);
+  const std::vector<std::string> found = Texts(active);
+  EXPECT_EQ(std::set<std::string>(found.begin(), found.end()),
+            (std::set<std::string>{"dead", "lethal"}));
+}
+
+TEST(CrashAnalysis, ServersLostAtOneMomentAreNoEvidence) {
+  CrashAnalysis analysis;
+  Quarantines active;
+  for (int i = 0; i < 8; ++i) {
+    analysis.AddCrash("e" + std::to_string(i), At(i), {{"aa"}, {"aa", "bb"}});
+  }
+  // The retries meet another loss.
+  for (int i = 0; i < 4; ++i) {
+    analysis.AddCrash("f" + std::to_string(i), At(300 + i), {{"aa", "bb"}});
+  }
+  DecideAll(analysis, At(800), active);
+  EXPECT_TRUE(active.empty());
+}
+
+TEST(CrashAnalysis, SeveralReportsOfOneCrashCountOnce) {
+  CrashAnalysis analysis;
+  Quarantines active;
+  for (int i = 0; i < 3; ++i) {
+    for (int front = 0; front < 5; ++front) {
+      analysis.AddCrash("e" + std::to_string(i), At(200 * i + front * 30),
+                        {{"dead"}});
+    }
+  }
+  DecideAll(analysis, At(1'000), active);
+  EXPECT_TRUE(active.empty());
+}
+
+// Requests of a part with a quarantine were still in progress when it began.
+TEST(CrashAnalysis, BystandersOfExplainedCrashesAreNotSuspect) {
+  CrashAnalysis analysis;
+  Quarantines active;
+  *active.Add()->mutable_parts()->Add() = "dead";
+  for (int i = 0; i < 8; ++i) {
+    analysis.AddCrash("e" + std::to_string(i), At(100 * i),
+                      {{"aa", "dead"}, {"aa", "bb"}});
+  }
+  DecideAll(analysis, At(1'000), active);
+  EXPECT_EQ(Texts(active), Parts{"dead"});
+}
+
+// Replays servers that lose their requests while sound requests with frequent
+// and rare parts are served.
+class CrashReplay {
+ public:
+  struct Load {
+    int servers = 12;
+    // Requests that begin in each step of 10 ms.
+    double starts_per_step = 0.5;
+    // Share of the requests that are harmful.
+    double harmful = 0;
+    // Chance that a server is lost in a step for another reason.
+    double other_crashes = 0;
+    // Chance that all servers of a quarter are lost in a step.
+    double domain_crashes = 0;
+  };
+
+  CrashReplay(Load load, uint32_t seed) : load_(load), random_(seed) {
+    running_.resize(static_cast<size_t>(load.servers));
+    down_until_.resize(static_cast<size_t>(load.servers));
+  }
+
+  void Run(int seconds_long) {
+    for (int step = 0; step < seconds_long * 100; ++step) {
+      now_ms_ = step * 10;
+      double starts = load_.starts_per_step;
+      while (starts > 0 && Chance(std::min(1.0, starts))) {
+        Start();
+        starts -= 1;
+      }
+      Advance();
+      LoseServers();
+      if (step % 5 == 0) {
+        DecideAll(analysis_, At(now_ms_), active_);
+      }
+    }
+  }
+
+  const Quarantines& active() const { return active_; }
+  int harmful_crashes() const { return harmful_crashes_; }
+
+ private:
+  struct Running {
+    Parts parts;
+    int64_t ends_ms = 0;
+    bool harmful = false;
+  };
+
+  bool Chance(double p) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < p;
+  }
+  int Draw(int count) {
+    return std::uniform_int_distribution<int>(0, count - 1)(random_);
+  }
+
+  void Start() {
+    Running request;
+    request.harmful = Chance(load_.harmful);
+    request.parts = {"first" + std::to_string(Draw(8)),
+                     "second" + std::to_string(Draw(800))};
+    if (request.harmful) {
+      request.parts = {"first0", "second0", "dead"};
+    }
+    request.ends_ms = now_ms_ + (request.harmful ? 100 : 700);
+    Place(std::move(request), 2);
+  }
+
+  void Place(Running request, int attempts) {
+    if (attempts == 0 || FindQuarantine(active_, request.parts) != nullptr) {
+      return;
+    }
+    for (int tries = 0; tries < load_.servers; ++tries) {
+      const auto server = static_cast<size_t>(Draw(load_.servers));
+      if (now_ms_ >= down_until_[server] && running_[server].size() < 8) {
+        running_[server].push_back(std::move(request));
+        return;
+      }
+    }
+  }
+
+  void Advance() {
+    for (size_t server = 0; server < running_.size(); ++server) {
+      std::vector<Running> left;
+      bool crashes = false;
+      for (Running& request : running_[server]) {
+        if (request.ends_ms > now_ms_) {
+          left.push_back(request);
+        } else if (request.harmful) {
+          left.push_back(request);
+          crashes = true;
+          ++harmful_crashes_;
+        } else {
+          for (const std::string& part : request.parts) {
+            analysis_.AddSound(part, At(now_ms_));
+          }
+        }
+      }
+      running_[server] = std::move(left);
+      if (crashes) {
+        Crash(server);
+      }
+    }
+  }
+
+  void LoseServers() {
+    const bool domain = Chance(load_.domain_crashes);
+    const int quarter = Draw(4);
+    for (size_t server = 0; server < running_.size(); ++server) {
+      if ((domain && static_cast<int>(server % 4) == quarter) ||
+          Chance(load_.other_crashes)) {
+        Crash(server);
+      }
+    }
+  }
+
+  void Crash(size_t server) {
+    if (now_ms_ < down_until_[server]) {
+      return;
+    }
+    down_until_[server] = now_ms_ + 3'000;
+    std::vector<Parts> requests;
+    std::vector<Running> lost = std::exchange(running_[server], {});
+    requests.reserve(lost.size());
+    for (const Running& request : lost) {
+      requests.push_back(request.parts);
+    }
+    if (!requests.empty()) {
+      analysis_.AddCrash("e" + std::to_string(server), At(now_ms_), requests);
+    }
+    for (Running& request : lost) {
+      request.ends_ms = now_ms_ + (request.harmful ? 100 : 700);
+      Place(std::move(request), 1);
+    }
+  }
+
+  Load load_;
+  std::mt19937 random_;
+  int64_t now_ms_ = 0;
+  std::vector<std::vector<Running>> running_;
+  std::vector<int64_t> down_until_;
+  CrashAnalysis analysis_;
+  Quarantines active_;
+  int harmful_crashes_ = 0;
+};
+
+// A harmful request in twenty, on fleets of several sizes, beside servers that
+// are lost for other reasons.
+TEST(CrashReplayTest, HarmfulPartsAreFoundWithinTheFirstCrashes) {
+  struct Size {
+    int servers;
+    double starts_per_step;
+    int most_crashes;
+  };
+  // Requests in progress when the decision falls are crashes too: about half a
+  // second of them.
+  for (const Size size : {Size{12, 0.5, 14}, {78, 3, 45}}) {
+    for (uint32_t seed = 1; seed <= 20; ++seed) {
+      CrashReplay::Load load;
+      load.servers = size.servers;
+      load.starts_per_step = size.starts_per_step;
+      load.harmful = 0.05;
+      load.other_crashes = 0.000'1;
+      CrashReplay replay(load, seed);
+      replay.Run(30);
+      EXPECT_LE(replay.harmful_crashes(), size.most_crashes)
+          << size.servers << " servers, seed " << seed;
+      bool found = false;
+      for (const std::string& text : Texts(replay.active())) {
+        found |= text.find("dead") != std::string::npos;
+        EXPECT_NE(text.find("dead"), std::string::npos)
+            << "sound parts are quarantined: " << text;
+      }
+      EXPECT_TRUE(found) << size.servers << " servers, seed " << seed;
+    }
+  }
+}
+
+// Servers are lost one by one and by failure domain, and nothing is harmful.
+TEST(CrashReplayTest, SoundPartsAreNotQuarantinedWhenServersAreLost) {
+  for (const int servers : {12, 78}) {
+    for (uint32_t seed = 1; seed <= 20; ++seed) {
+      CrashReplay::Load load;
+      load.servers = servers;
+      load.starts_per_step = servers / 24.0;
+      load.other_crashes = 0.000'5;
+      load.domain_crashes = 0.002;
+      CrashReplay replay(load, seed);
+      replay.Run(30);
+      EXPECT_EQ(Texts(replay.active()), Parts{})
+          << servers << " servers, seed " << seed;
+    }
+  }
+}
+
+TEST(CrashRecorder, ACrashIsReportedWithTheRequestsThatMayHaveCausedIt) {
+  CrashRecorder recorder;
+  recorder.RecordBroken("e", {"aa", "dead"}, At(950), At(1'000));
+  recorder.RecordBroken("e", {"bb"}, TimePoint(), At(1'002));
+  // It has been streaming for longer than a crash takes.
+  recorder.RecordBroken("e", {"cc"}, At(0), At(1'003));
+  recorder.RecordBroken("e", {}, TimePoint(), At(1'004));
+  EXPECT_TRUE(recorder.TakeCrashes(At(1'050)).empty());
+  const std::vector<CrashRecord> crashes = recorder.TakeCrashes(At(1'100));
+  ASSERT_EQ(crashes.size(), 1U);
+  EXPECT_EQ(crashes[0].backend, "e");
+  EXPECT_EQ(crashes[0].at, At(1'000));
+  EXPECT_EQ(crashes[0].requests, (std::vector<Parts>{{"aa", "dead"}, {"bb"}}));
+  EXPECT_TRUE(recorder.TakeCrashes(At(2'000)).empty());
+}
+
+TEST(CrashRecorder, AServerThatGoesOnAnsweringHasNotCrashed) {
+  CrashRecorder recorder;
+  recorder.RecordBroken("e", {"aa"}, TimePoint(), At(0));
+  recorder.RecordBroken("f", {"aa"}, TimePoint(), At(0));
+  // Sent before the crash and read after it.
+  recorder.RecordAlive("e", At(10));
+  recorder.RecordAlive("f", At(60));
+  const std::vector<CrashRecord> crashes = recorder.TakeCrashes(At(200));
+  ASSERT_EQ(crashes.size(), 1U);
+  EXPECT_EQ(crashes[0].backend, "e");
+}
+
+TEST(CrashRecorder, CollectsSoundAnswersToWatchedParts) {
+  CrashRecorder recorder;
+  recorder.RecordBroken("e", {"aa"}, TimePoint(), At(0));
+  recorder.TakeCrashes(At(200));
+  recorder.SetWatched({"bb"});
+  recorder.RecordSound({"aa", "bb", "cc"}, At(300));
+  EXPECT_EQ(recorder.TakeSound(), (std::map<std::string, TimePoint>{
+                                      {"aa", At(300)}, {"bb", At(300)}}));
+  EXPECT_TRUE(recorder.TakeSound().empty());
+}
+
+TEST(CrashEvidence, SendsACrashOnceToEachControlHost) {
+  CrashEvidence evidence;
+  evidence.AddCrash({"e", At(0), {{"aa", "dead"}, {"bb"}}});
+  evidence.AddCrash({"f", At(100), {{"aa"}}});
+  evidence.AddSound({{"aa", At(150)}}, At(200));
+  proto::HostHello hello;
+  evidence.Fill(0, At(300), hello);
+  ASSERT_EQ(hello.crashes_size(), 2);
+  EXPECT_EQ(hello.crashes(0).ago_ms(), 300U);
+  EXPECT_EQ(hello.crashes(0).requests_size(), 2);
+  ASSERT_EQ(hello.sound_answers_size(), 1);
+  EXPECT_EQ(hello.sound_answers(0).ago_ms(), 150U);
+  evidence.Fill(1, At(300), hello);
+  ASSERT_EQ(hello.crashes_size(), 1);
+  EXPECT_EQ(hello.crashes(0).backend(), "f");
+}
+
+class QuarantineServiceTest : public ::testing::Test {
+ protected:
+  // Sends the heartbeat of a front that has seen `crashes` crashes by now.
+  void SendHello(int crashes, uint64_t incarnation, TimePoint now) {
+    proto::HostHello hello;
+    hello.mutable_info()->set_host("front");
+    hello.mutable_info()->set_front(true);
+    hello.mutable_info()->set_incarnation(incarnation);
+    for (int i = 1; i <= crashes; ++i) {
+      proto::BackendCrash& crash = *hello.add_crashes();
+      crash.set_number(static_cast<uint64_t>(i));
+      crash.set_backend("e" + std::to_string(i));
+      crash.set_ago_ms(static_cast<uint32_t>(100 * (crashes - i)));
+      crash.add_requests()->add_parts("dead");
+    }
+    service_.OnHello("front", hello, now);
+    info_ = hello.info();
+  }
+
+  void Tick(bool leader, TimePoint now) {
+    service_.Tick(leader, now,
+                  [this](const proto::ControlCommand& command,
+                         const std::function<void(const Status&)>& done) {
+                    EXPECT_TRUE(state_.Apply(command.SerializeAsString()));
+                    done({});
+                  });
+  }
+
+  Metrics metrics_;
+  ControlState state_;
+  QuarantineService service_{state_, metrics_};
+  proto::HostInfo info_;
+};
+
+TEST_F(QuarantineServiceTest, OnlyTheLeaderDecides) {
+  SendHello(5, 1, At(1'000));
+  EXPECT_EQ(service_.CrashCursor(info_), 5U);
+  Tick(false, At(1'100));
+  EXPECT_TRUE(state_.quarantines().empty());
+  Tick(true, At(1'200));
+  ASSERT_EQ(Texts(state_.quarantines()), Parts{"dead"});
+  // Hosts that know the list get its hash alone.
+  proto::HostHello hello;
+  hello.mutable_info()->set_front(true);
+  proto::HelloReply reply;
+  service_.FillReply(hello, reply);
+  EXPECT_EQ(reply.quarantines_size(), 1);
+  EXPECT_EQ(reply.watched_parts_size(), 1);
+  hello.set_quarantines_hash(reply.quarantines_hash());
+  proto::HelloReply unchanged;
+  service_.FillReply(hello, unchanged);
+  EXPECT_EQ(unchanged.quarantines_size(), 0);
+  EXPECT_EQ(unchanged.quarantines_hash(), reply.quarantines_hash());
+}
+
+// Guards against counting a crash twice that was sent again, and against
+// ignoring the reports of a restarted front.
+TEST_F(QuarantineServiceTest, CountsEachReportedCrashOnce) {
+  for (int i = 0; i < 10; ++i) {
+    SendHello(3, 1, At(1'000 + 300 * i));
+  }
+  Tick(true, At(4'500));
+  EXPECT_TRUE(state_.quarantines().empty());
+  SendHello(3, 2, At(5'000));
+  EXPECT_EQ(service_.CrashCursor(info_), 3U);
+  Tick(true, At(5'500));
+  EXPECT_EQ(Texts(state_.quarantines()), Parts{"dead"});
+}
+
+TEST_F(QuarantineServiceTest, AQuarantineEndsAfterItsTime) {
+  proto::ControlCommand command;
+  command.mutable_quarantine()->add_parts("old");
+  command.mutable_quarantine()->set_until_unix_ms(UnixMs() - 1);
+  ASSERT_TRUE(state_.Apply(command.SerializeAsString()));
+  Tick(true, At(0));
+  EXPECT_TRUE(state_.quarantines().empty());
+}
+
+TEST(ControlState, KeepsQuarantinesInSnapshots) {
+  ControlState state;
+  proto::ControlCommand command;
+  command.mutable_quarantine()->add_parts("aa");
+  command.mutable_quarantine()->add_parts("dead");
+  command.mutable_quarantine()->set_until_unix_ms(7);
+  for (int i = 0; i < 2; ++i) {
+    ASSERT_TRUE(state.Apply(command.SerializeAsString()));
+  }
+  ControlState loaded;
+  fakes::CopyState(state, loaded);
+  ASSERT_EQ(Texts(loaded.quarantines()), Parts{"aa+dead"});
+  EXPECT_EQ(loaded.quarantines()[0].until_unix_ms(), 7);
+  for (int i = 0; i < ControlState::kMaxQuarantines; ++i) {
+    command.mutable_quarantine()->set_parts(0, "n" + std::to_string(i));
+    ASSERT_TRUE(loaded.Apply(command.SerializeAsString()));
+  }
+  EXPECT_EQ(loaded.quarantines().size(), ControlState::kMaxQuarantines);
+  EXPECT_EQ(Texts(loaded.quarantines()).front(), "n0+dead");
+}
+
+TEST(QuarantineList, CoversRequestsWithAllOfItsParts) {
+  Quarantines list;
+  proto::Quarantine& quarantine = *list.Add();
+  quarantine.add_parts("aa");
+  quarantine.add_parts("dead");
+  EXPECT_NE(FindQuarantine(list, {"dead", "x", "aa"}), nullptr);
+  EXPECT_EQ(FindQuarantine(list, {"aa", "x"}), nullptr);
+  EXPECT_EQ(FindQuarantine(list, {}), nullptr);
+  // A quarantine without parts must not cover every request.
+  list.Add();
+  EXPECT_EQ(FindQuarantine(list, {"x"}), nullptr);
+}
+
+}  // namespace
+}  // namespace sequoialb
