Blame no bystander: wait for late crash reports, and for more crashes among many

Five crashes at two moments of 50 ms did not suffice, so the decision came 3 s late. Ruled out: deciding by the number of moments alone; the moments of synchronized items are 20 to 40 ms apart. Change: a crash counts 250 ms after it happened; a change of a quarantine needs two crashes that it does not explain; moments are 20 ms; one crash more is needed for every 16 others; every event of a long answer counts as sound; a quarantine lasts 60 s, twice as long each time it begins again soon.

--- a/src/fleet/quarantine_service.cc
+++ b/src/fleet/quarantine_service.cc
@@ -105,12 +105,26 @@
   }
 }
 
+int64_t QuarantineService::NextTermEnd(const std::vector<std::string>& parts) {
+  const int64_t unix_now = UnixMs();
+  for (auto it = terms_.begin(); it != terms_.end();) {
+    const bool forgotten =
+        unix_now > it->second.until_unix_ms + it->second.length.count();
+    it = forgotten ? terms_.erase(it) : std::next(it);
+  }
+  Term& term = terms_[parts];
+  term.length =
+      std::clamp(term.length * 2, kQuarantineTime, kMaxQuarantineTime);
+  term.until_unix_ms = unix_now + term.length.count();
+  return term.until_unix_ms;
+}
+
 void QuarantineService::Begin(const QuarantineChange& change,
                               const Propose& propose) {
   proto::ControlCommand command;
   proto::Quarantine& quarantine = *command.mutable_quarantine();
   *quarantine.mutable_parts() = {change.begins.begin(), change.begins.end()};
-  quarantine.set_until_unix_ms(UnixMs() + kQuarantineTime.count());
+  quarantine.set_until_unix_ms(NextTermEnd(change.begins));
   ++pending_;
   propose(command, [this, change](const Status& outcome) {
     --pending_;
--- a/src/fleet/quarantine_service.h
+++ b/src/fleet/quarantine_service.h
@@ -4,8 +4,9 @@
 //
 // Reports go to every control host, so that a new leader can decide at once.
 // Quarantines are durable: after a loss of power of all hosts no server has to
-// crash again for the same part. Each ends by itself after a while, in case the
-// servers have been mended. Belongs to the control thread.
+// crash again for the same part. Each ends by itself, in case the servers
+// have been mended or the part was not to blame; one that begins again soon
+// lasts twice as long. Belongs to the control thread.
 #pragma once
 
 #include <functional>
@@ -41,17 +42,25 @@
 
   void Tick(bool confirmed_leader, TimePoint now, const Propose& propose);
 
-  // How long a quarantine lasts.
-  static constexpr milliseconds kQuarantineTime{600'000};
+  // How long a quarantine lasts at first, and at most.
+  static constexpr milliseconds kQuarantineTime{60'000};
+  static constexpr milliseconds kMaxQuarantineTime{3'600'000};
 
  private:
   struct Reporter {
     uint64_t incarnation = 0;
     uint64_t cursor = 0;
   };
+  // How long a quarantine lasts, and when it ends.
+  struct Term {
+    milliseconds length{0};
+    int64_t until_unix_ms = 0;
+  };
 
   // Returns the change that is due, an expiry before others.
   std::optional<QuarantineChange> NextChange(TimePoint now);
+  // Returns when a quarantine of the parts that begins now ends.
+  int64_t NextTermEnd(const std::vector<std::string>& parts);
   void Begin(const QuarantineChange& change, const Propose& propose);
   void End(const QuarantineChange& change, const Propose& propose);
 
@@ -59,6 +68,8 @@
   CrashAnalysis analysis_;
   std::map<std::string, Reporter> reporters_;
   std::vector<std::string> watched_;
+  // The last term of each combination, if this leader began it.
+  std::map<std::vector<std::string>, Term> terms_;
   TimePoint decide_at_;
   // Proposed commands whose outcome is not known.
   size_t pending_ = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -69,8 +69,6 @@
   TimePoint last_progress_at;
   // When the current server's answer began, or TimePoint().
   TimePoint begun_at;
-  // The current server has not crashed of the request.
-  bool sound = false;
   // The end of the current answer is marked by its framing.
   bool end_marked = false;
   TimePoint deadline;
@@ -319,7 +317,6 @@
   request.sent_at = now;
   request.last_progress_at = TimePoint();
   request.begun_at = TimePoint();
-  request.sound = false;
   request.item_stopped = choice.stop_item;
   request.may_have_run_before = request.may_have_run;
   request.may_have_run = true;
@@ -452,16 +449,11 @@
   if (request.begun_at == TimePoint()) {
     request.begun_at = now;
   }
-  if (!request.sound && CrashRecorder::HasSurvived(request.begun_at, now)) {
-    RecordSound(request);
+  if (CrashRecorder::HasSurvived(request.begun_at, now)) {
+    front_.crashes.RecordSound(request.caller.shared_parts, now);
   }
 }
 
-void Gateway::RecordSound(Request& request) {
-  request.sound = true;
-  front_.crashes.RecordSound(request.caller.shared_parts, front_.loop.now());
-}
-
 void Gateway::ForwardHead(Request& request, const ResponseHead& head) {
   request.head_forwarded = true;
   const std::string* type = head.headers.Find("Content-Type");
@@ -550,8 +542,8 @@
   front_.pool.RecordSuccess(request.backend);
   front_.crashes.RecordAlive(request.backend, front_.loop.now());
   // A crash may look like the end of an answer that ends with its connection.
-  if (request.end_marked && !request.sound) {
-    RecordSound(request);
+  if (request.end_marked) {
+    front_.crashes.RecordSound(request.caller.shared_parts, front_.loop.now());
   }
   const Duration held = front_.loop.now() - request.sent_at;
   mean_hold_ +=
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,8 +73,6 @@
                              int64_t left_ms) const;
   void OnHead(Request& request, const ResponseHead& head);
   void RecordProgress(Request& request);
-  // Records that the current server has not crashed of the request.
-  void RecordSound(Request& request);
   void ForwardHead(Request& request, const ResponseHead& head);
   void OnData(Request& request, std::string_view data);
   // Forwards the whole events among the received bytes.
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -41,8 +41,6 @@
   std::vector<std::string> shared_parts;
   // When the server's answer made its first progress, or TimePoint().
   TimePoint begun_at;
-  // The server has not crashed of the item.
-  bool sound = false;
   // The end of the answer is marked by its framing.
   bool end_marked = false;
   // Set when the response status alone decides the outcome.
@@ -154,8 +152,8 @@
     if (whole) {
       front_.pool.RecordSuccess(run.backend);
     }
-    if (whole && run.end_marked && !run.sound) {
-      RecordSound(run);
+    if (whole && run.end_marked) {
+      front_.crashes.RecordSound(run.shared_parts, front_.loop.now());
     }
     End(run,
         run.status_outcome.value_or(whole ? proto::ItemOutcome::kComplete
@@ -186,16 +184,11 @@
   End(run, proto::ItemOutcome::kReturned);
 }
 
-void ItemRunner::RecordSound(Run& run) {
-  run.sound = true;
-  front_.crashes.RecordSound(run.shared_parts, front_.loop.now());
-}
-
 void ItemRunner::OnHead(Run& run, const ResponseHead& head) {
   const TimePoint now = front_.loop.now();
-  front_.crashes.RecordAlive(run.backend, now);
   run.end_marked = head.framing != BodyFraming::kUntilClose;
   const BackendAnswer answer = front_.protocol.DecodeAnswer(head);
+  front_.crashes.RecordAlive(run.backend, now);
   if (answer.load) {
     front_.pool.RecordServerLoad(run.backend, *answer.load, now);
   }
@@ -244,9 +237,8 @@
       run.begun_at = run.last_progress_at;
     }
     run.received_data = true;
-    if (!run.sound &&
-        CrashRecorder::HasSurvived(run.begun_at, run.last_progress_at)) {
-      RecordSound(run);
+    if (CrashRecorder::HasSurvived(run.begun_at, run.last_progress_at)) {
+      front_.crashes.RecordSound(run.shared_parts, run.last_progress_at);
     }
   }
   if (run.parser.too_long() || run.output.size() > kMaxOutputBytes) {
--- a/src/jobs/item_runner.h
+++ b/src/jobs/item_runner.h
@@ -57,8 +57,6 @@
   void OnHead(Run& run, const ResponseHead& head);
   void OnData(Run& run, std::string_view data);
   void OnFailure(Run& run, CallFailure failure);
-  // Records that the server has not crashed of the item.
-  void RecordSound(Run& run);
   void RejectOutput(Run& run);
   void End(Run& run, proto::ItemOutcome::Kind kind);
 
--- a/src/quarantine/crash_analysis.cc
+++ b/src/quarantine/crash_analysis.cc
@@ -55,6 +55,7 @@
         [](TimePoint time, const Crash& crash) { return time < crash.at; });
     same = crashes_.insert(position, {backend, at, {}});
   }
+  same->at = std::min(same->at, at);
   for (const std::vector<std::string>& parts : requests) {
     if (same->requests.size() < kMaxRequestsOfCrash) {
       same->requests.push_back(parts);
@@ -87,10 +88,23 @@
   }
 }
 
+bool CrashAnalysis::IsEnough(const Suspicion& suspicion, TimePoint now) {
+  return suspicion.crashes >=
+             kMinCrashes + suspicion.others / kOtherCrashesPerMinCrash &&
+         suspicion.unexplained >= kMinUnexplained &&
+         suspicion.moments >= kMinMoments &&
+         now - suspicion.first_unexplained_at >= kObservationTime;
+}
+
 std::map<std::string, CrashAnalysis::Suspicion> CrashAnalysis::Suspicions(
-    const Quarantines& active) const {
+    const Quarantines& active, TimePoint now) const {
   std::map<std::string, Suspicion> suspicions;
+  size_t counted_crashes = 0;
   for (const Crash& crash : crashes_) {
+    if (now - crash.at < kSettleTime) {
+      continue;
+    }
+    ++counted_crashes;
     const bool explained = IsExplained(crash.requests, active);
     std::set<std::string> counted;
     for (const std::vector<std::string>& parts : crash.requests) {
@@ -106,7 +120,10 @@
         const bool new_moment = suspicion.crashes == 0 ||
                                 crash.at - suspicion.moment_at >= kMomentTime;
         if (suspicion.crashes == 0) {
-          suspicion.first_at = crash.at;
+          suspicion.crashes_before = counted_crashes - 1;
+        }
+        if (!explained && suspicion.unexplained == 0) {
+          suspicion.first_unexplained_at = crash.at;
         }
         if (new_moment) {
           suspicion.moment_at = crash.at;
@@ -117,6 +134,10 @@
       }
     }
   }
+  for (auto& [part, suspicion] : suspicions) {
+    suspicion.others =
+        counted_crashes - suspicion.crashes_before - suspicion.crashes;
+  }
   return suspicions;
 }
 
@@ -189,7 +210,7 @@
   if (auto narrowed = NarrowByAnswers(active)) {
     return narrowed;
   }
-  const std::map<std::string, Suspicion> suspicions = Suspicions(active);
+  const std::map<std::string, Suspicion> suspicions = Suspicions(active, now);
   size_t most_crashes = 0;
   for (const auto& [part, suspicion] : suspicions) {
     if (suspicion.unexplained > 0) {
@@ -199,10 +220,7 @@
   const std::string* chosen = nullptr;
   size_t fewest_requests = 0;
   for (const auto& [part, suspicion] : suspicions) {
-    const bool enough = suspicion.unexplained > 0 &&
-                        suspicion.crashes >= kMinCrashes &&
-                        suspicion.moments >= kMinMoments &&
-                        now - suspicion.first_at >= kObservationTime;
+    const bool enough = IsEnough(suspicion, now);
     const bool comparable =
         static_cast<double>(suspicion.crashes) >=
         kComparableFraction * static_cast<double>(most_crashes);
--- a/src/quarantine/crash_analysis.h
+++ b/src/quarantine/crash_analysis.h
@@ -12,7 +12,7 @@
 // A part is quarantined after a few crashes at different times without a sound
 // answer in between. Parts that occurred in every request with it are
 // quarantined together with it, as one combination; a sound answer to one of
-// them, or a crash without it, narrows the combination down. Servers that are
+// them, or crashes without it, narrow the combination down. Servers that are
 // lost at one moment, such as those of a failure domain, count once.
 //
 // A pure state machine on the control group's leader. It is rebuilt from the
@@ -63,10 +63,19 @@
   // Crashes needed for a quarantine, and how many of them at different times.
   static constexpr size_t kMinCrashes = 4;
   static constexpr size_t kMinMoments = 3;
+  // One more is needed for each so many other crashes meanwhile, since a rare
+  // part of sound requests may be in several crashes by chance.
+  static constexpr size_t kOtherCrashesPerMinCrash = 16;
+  // How many of them no active quarantine explains.
+  static constexpr size_t kMinUnexplained = 2;
   // Crashes within this time of each other count as one moment.
-  static constexpr milliseconds kMomentTime{50};
-  // Time from a part's first crash for reports of sound answers to arrive.
+  static constexpr milliseconds kMomentTime{20};
+  // Time from a part's first unexplained crash for reports of sound answers to
+  // arrive.
   static constexpr milliseconds kObservationTime{400};
+  // A crash counts after this time, when all fronts with requests on the server
+  // have reported it.
+  static constexpr milliseconds kSettleTime{250};
 
  private:
   struct Crash {
@@ -81,14 +90,19 @@
     size_t unexplained = 0;
     size_t moments = 0;
     size_t requests = 0;
-    TimePoint first_at;
+    // Crashes before its first one, and crashes without it since then.
+    size_t crashes_before = 0;
+    size_t others = 0;
+    TimePoint first_unexplained_at;
     // The first crash of the latest moment.
     TimePoint moment_at;
   };
 
   void Expire(TimePoint now);
+  static bool IsEnough(const Suspicion& suspicion, TimePoint now);
   bool IsSoundSince(const std::string& part, TimePoint at) const;
-  std::map<std::string, Suspicion> Suspicions(const Quarantines& active) const;
+  std::map<std::string, Suspicion> Suspicions(const Quarantines& active,
+                                              TimePoint now) const;
   // Returns the parts that were in all requests with `part`, and in no sound
   // one.
   std::vector<std::string> Combination(const std::string& part) const;
--- a/src/quarantine/crash_recorder.cc
+++ b/src/quarantine/crash_recorder.cc
@@ -48,6 +48,9 @@
 
 void CrashRecorder::RecordSound(const std::vector<std::string>& shared_parts,
                                 TimePoint now) {
+  if (own_parts_.empty() && watched_.empty()) {
+    return;
+  }
   for (const std::string& part : shared_parts) {
     if (IsWatched(part, now)) {
       sound_[part] = now;
--- a/src/quarantine/crash_recorder.h
+++ b/src/quarantine/crash_recorder.h
@@ -42,7 +42,7 @@
   void RecordAlive(const std::string& backend, TimePoint now);
 
   // Records a request that was answered, or has been streaming for a while,
-  // without a crash.
+  // without a crash. Call for each later part of such an answer too.
   void RecordSound(const std::vector<std::string>& shared_parts, TimePoint now);
 
   // Sets the parts for which sound answers are collected, beside those of the
