Send nothing more to a server that says in an answer that it leaves

The header was forwarded and ignored; only announcements counted, which a host that is cut off does not get. Ruled out: telling the control hosts (the rule and the need are per host, and the server announces itself); forgetting the mark with the server's record, which a cut can take away and bring back. Change: the pool marks the server for its current start; a later start under the same id is another process. A 421 marks nothing, since another server sent it.

--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -344,6 +344,7 @@
         candidate_fronts[index % candidate_fronts.size()] == settings_.host;
     backend.slots = record.slots();
     backend.cold = record.cold_left_ms() > 0;
+    backend.started_unix_ms = record.started_unix_ms();
     usable.push_back(std::move(backend));
   }
   loop_.Post([this, usable, count = all_fronts.size(),
--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -25,6 +25,9 @@
 // Slots that stay free on an unassigned server, for requests that other fronts
 // have just sent there.
 constexpr double kUnassignedReserve = 1;
+// Servers that have left are remembered up to this number; ids are rarely used
+// again.
+constexpr size_t kMaxLeaving = 4'096;
 // The newest gap changes the mean gap by one part in this many.
 constexpr int kMeanGapDivisor = 8;
 
@@ -38,6 +41,11 @@
     Load& load = loads_[backend.id];
     load.backend = backend;
     load.usable = true;
+    const auto left = leaving_.find(backend.id);
+    if (left != leaving_.end() && left->second < backend.started_unix_ms) {
+      leaving_.erase(left);
+    }
+    load.leaving = leaving_.count(backend.id) > 0;
   }
   for (auto it = loads_.begin(); it != loads_.end();) {
     const Load& load = it->second;
@@ -68,7 +76,7 @@
 
 bool BackendPool::IsEligible(const Load& load, const std::string& service,
                              TimePoint now) {
-  return load.usable && load.backend.service == service &&
+  return load.usable && !load.leaving && load.backend.service == service &&
          now >= load.backoff_until &&
          !IsServerStalled(load.streaming, load.last_progress_at, load.mean_gap,
                           now);
@@ -228,6 +236,7 @@
   size_t usable = 0;
   size_t assigned = 0;
   size_t avoided = 0;
+  size_t leaving = 0;
   uint32_t online = 0;
   uint32_t items = 0;
   double assigned_free = 0;
@@ -237,6 +246,7 @@
       continue;
     }
     ++usable;
+    leaving += load.leaving ? 1 : 0;
     avoided += now < load.backoff_until ? 1 : 0;
     online += load.online;
     items += load.items;
@@ -249,6 +259,7 @@
   return "servers=" + std::to_string(usable) +
          " assigned=" + std::to_string(assigned) +
          " avoided=" + std::to_string(avoided) +
+         " leaving=" + std::to_string(leaving) +
          " online=" + std::to_string(online) +
          " items=" + std::to_string(items) +
          " free=" + std::to_string(static_cast<int>(all_free)) +
@@ -311,6 +322,22 @@
   load.reported_at = now;
 }
 
+bool BackendPool::RecordLeaving(const std::string& backend) {
+  Load& load = loads_[backend];
+  if (load.leaving) {
+    return false;
+  }
+  load.leaving = true;
+  leaving_[backend] = load.backend.started_unix_ms;
+  if (leaving_.size() > kMaxLeaving) {
+    leaving_.erase(std::min_element(leaving_.begin(), leaving_.end(),
+                                    [](const auto& a, const auto& b) {
+                                      return a.second < b.second;
+                                    }));
+  }
+  return true;
+}
+
 void BackendPool::RecordFull(const std::string& backend, TimePoint now) {
   Load& load = loads_[backend];
   load.backoff_until = std::max(load.backoff_until, now + kFullBackoff);
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -19,7 +19,9 @@
 // A server that cannot be reached or does not complete an answer gets no new
 // requests for a backoff time that doubles with each failure. A server all of
 // whose streams have stalled gets none until it sends bytes again
-// (stall_policy.h).
+// (stall_policy.h). A server that has said in an answer that it leaves gets none
+// any more, also when its record is lost and comes back; a later start under the
+// same id is another process.
 //
 // A pure state machine.
 #pragma once
@@ -51,6 +53,9 @@
   bool assigned = false;
   uint32_t slots = 0;
   bool cold = false;
+  // When this process of the server started; a restart under the same id has a
+  // later time.
+  int64_t started_unix_ms = 0;
 };
 
 struct Choice {
@@ -115,6 +120,9 @@
     return peer_loads_.Sum(fronts);
   }
 
+  // Records that the server has said that it leaves. Returns false if that was
+  // known.
+  bool RecordLeaving(const std::string& backend);
   // Records that the server refused a request because it was full.
   void RecordFull(const std::string& backend, TimePoint now);
   void RecordFailure(const std::string& backend, TimePoint now);
@@ -131,6 +139,7 @@
   struct Load {
     UsableBackend backend;
     bool usable = false;
+    bool leaving = false;
     uint32_t online = 0;
     uint32_t items = 0;
     // Online requests and batch items of this front whose answers have begun.
@@ -174,6 +183,8 @@
   std::mt19937_64 random_;
   SpreadPolicy spread_;
   std::map<std::string, Load> loads_;
+  // Servers that have said that they leave, with their start time.
+  std::map<std::string, int64_t> leaving_;
   // Reading it at a later time drops reports that have become too old.
   mutable PeerLoads peer_loads_;
   size_t peers_ = 0;
--- a/src/gateway/front_view.h
+++ b/src/gateway/front_view.h
@@ -52,6 +52,10 @@
         protocol(gateway_protocol),
         client(event_loop, all_metrics),
         pool(Hash64(RandomHex(8))) {}
+
+  // Takes what the head of an answer says about the server that sent it.
+  void RecordServerState(const std::string& backend,
+                         const BackendAnswer& answer);
 };
 
 }  // namespace sequoialb
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -394,12 +394,9 @@
 
 void Gateway::OnHead(Request& request, const ResponseHead& head) {
   const TimePoint now = front_.loop.now();
-  front_.crashes.RecordAlive(request.backend, now);
   request.end_marked = head.framing != BodyFraming::kUntilClose;
   const BackendAnswer answer = front_.protocol.DecodeAnswer(head);
-  if (answer.load) {
-    front_.pool.RecordServerLoad(request.backend, *answer.load, now);
-  }
+  front_.RecordServerState(request.backend, answer);
   if (answer.not_run || answer.other_server) {
     const std::string backend = request.backend;
     request.may_have_run = request.may_have_run_before;
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -47,6 +47,8 @@
   bool not_run = false;
   // The server at this address is not the one that the request was sent to.
   bool other_server = false;
+  // The server is leaving and must get no further requests.
+  bool leaving = false;
   std::optional<BackendLoad> load;
 };
 
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -188,10 +188,7 @@
   const TimePoint now = front_.loop.now();
   run.end_marked = head.framing != BodyFraming::kUntilClose;
   const BackendAnswer answer = front_.protocol.DecodeAnswer(head);
-  front_.crashes.RecordAlive(run.backend, now);
-  if (answer.load) {
-    front_.pool.RecordServerLoad(run.backend, *answer.load, now);
-  }
+  front_.RecordServerState(run.backend, answer);
   if (answer.other_server) {
     front_.pool.RecordFailure(run.backend, now);
     run.status_outcome = proto::ItemOutcome::kReturned;
--- a/test/correctness/gateway_test.cc
+++ b/test/correctness/gateway_test.cc
@@ -99,12 +99,12 @@
 
   // Sends a request and returns all bytes of the answer. `fields` are further
   // header lines.
-  std::string SendRequest(const std::string& fields = "") {
+  std::string SendRequest(const std::string& fields = "",
+                          const std::string& id = "q") {
     RawClient client(server_->port());
-    client.Send(
-        "POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q\r\n"
-        "Deadline-Ms: 9000\r\nConnection: close\r\n" +
-        fields + "Content-Length: 0\r\n\r\n");
+    client.Send("POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id +
+                "\r\nDeadline-Ms: 9000\r\nConnection: close\r\n" + fields +
+                "Content-Length: 0\r\n\r\n");
     return client.ReadAll();
   }
 
@@ -207,6 +207,44 @@
   EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
 }
 
+constexpr char kLeavingResponse[] =
+    "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nResponse-Stamp: s\r\n"
+    "Server-Leaving: 1\r\nContent-Length: 2\r\n\r\nok";
+
+TEST_F(GatewayTest, AServerThatSaysItLeavesGetsNoFurtherRequests) {
+  ScriptedServer leaving(kLeavingResponse);
+  ScriptedServer good(kOkResponse);
+  Open(RouteKind::kOnce, {&leaving, &good});
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_EQ(StatusOf(SendRequest()), 200);
+  }
+  EXPECT_EQ(leaving.requests, 1);
+  EXPECT_EQ(good.requests, 3);
+}
+
+// The server's record is lost and comes back, as after a cut.
+TEST_F(GatewayTest, AServerThatLeavesIsRememberedWhileItIsNotListed) {
+  ScriptedServer leaving(kLeavingResponse);
+  ScriptedServer good(kOkResponse);
+  Open(RouteKind::kOnce, {&leaving, &good});
+  EXPECT_EQ(StatusOf(SendRequest()), 200);
+  const auto list = [&](int64_t started_unix_ms) {
+    thread_.Run([&] {
+      front_->pool.SetUsable({});
+      UsableBackend backend{"e1", "s", leaving.address(), true, true, 4, false};
+      backend.started_unix_ms = started_unix_ms;
+      front_->pool.SetUsable({backend});
+    });
+  };
+  list(0);
+  EXPECT_EQ(StatusOf(SendRequest()), 503);
+  EXPECT_EQ(leaving.requests, 1);
+  // A later start under the same id is another process.
+  list(5'000);
+  EXPECT_EQ(StatusOf(SendRequest()), 200);
+  EXPECT_EQ(leaving.requests, 2);
+}
+
 constexpr char kHarmfulPrompt[] = "Prompt-Prefix: aa:9,dead:9,own:9\r\n";
 
 TEST_F(GatewayTest, AQuarantinedRequestIsRefusedAtOnceAsNotRun) {
--- a/test/correctness/platform_adapter_test.cc
+++ b/test/correctness/platform_adapter_test.cc
@@ -154,6 +154,11 @@
       adapter
           .DecodeAnswer(*ParseResponseHead("HTTP/1.1 421 Misdirected\r\n\r\n"))
           .other_server);
+  EXPECT_FALSE(answer.leaving);
+  EXPECT_TRUE(adapter
+                  .DecodeAnswer(*ParseResponseHead(
+                      "HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\n\r\n"))
+                  .leaving);
 }
 
 TEST(GatewayAdapter, DecodesBatchRequests) {
