--- a/test/correctness/platform_adapter_test.cc
+++ b/test/correctness/platform_adapter_test.cc
@@ -92,6 +92,58 @@
   }
 }
 
+// Guards against an odd entry of another writer that is taken for a server.
+TEST(ControlAdapter, RejectsAnnouncementsWithValuesOutOfRange) {
+  const ControlAdapter adapter;
+  const auto decode = [&](const std::string& name, const std::string& value) {
+    std::map<std::string, std::string> fields = {{"Service", R"("s")"},
+                                                 {"Addr", R"("10.0.0.9:80")"},
+                                                 {"Zone", R"("z")"},
+                                                 {"Slots", "8"},
+                                                 {"State", R"("ready")"},
+                                                 {"ColdLeftMs", "0"},
+                                                 {"Seq", "4"},
+                                                 {"born", "99"}};
+    fields[name] = value;
+    std::string body;
+    for (const auto& [field, text] : fields) {
+      body +=
+          std::string(body.empty() ? "{" : ",") + "\"" + field + "\":" + text;
+    }
+    return adapter.Decode(Head("PUT /sequoialb/instances/i-1"), body + "}");
+  };
+  ASSERT_TRUE(decode("Slots", "8").has_value());
+  const std::string deep =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  const std::string digits(400, '9');
+  for (const auto& [name, value] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"Addr", R"("10.0.0.9:65536")"},
+           {"Addr", R"("10.0.0.9:99999999999999999999")"},
+           {"Addr", R"("10.0.0.9:-1")"},
+           {"Addr", R"("10.0.0.9:0")"},
+           {"Slots", "4294967304"},
+           {"Slots", "4000000000"},
+           {"Slots", "1e300"},
+           {"Slots", "1e999"},
+           {"Slots", digits},
+           {"Slots", deep},
+           {"Models", deep},
+           {"ColdLeftMs", "1e300"},
+           {"ColdLeftMs", "1e999"},
+           {"ColdLeftMs", digits},
+           {"Seq", "18446744073709551615"},
+           {"Seq", "1e300"},
+           {"Seq", "-1"},
+           {"born", "18446744073709551615"},
+           {"born", "9223372036854775807"},
+           {"born", "4102444800000000"},
+           {"born", "1.5"}}) {
+    const auto decoded = decode(name, value);
+    EXPECT_FALSE(decoded.has_value()) << name << " " << value.substr(0, 40);
+  }
+}
+
 TEST(ControlAdapter, DecodesRequestsWithoutBody) {
   const ControlAdapter adapter;
   const auto request_index = [&](const std::string& line) {
@@ -143,6 +195,23 @@
   EXPECT_EQ(*out.Find("Prompt-Prefix"), "ab:8,cd:2");
 }
 
+// Guards against times that overflow and end in the past.
+TEST(GatewayAdapter, CutsTimesOutOfRange) {
+  const RequestHead head =
+      Head("POST /a/x", "Deadline-Ms: 18446744073709551615\r\n");
+  EXPECT_EQ(GatewayAdapter().DecodeRequest(head).time_left,
+            milliseconds(86'400'000));
+  const auto catalog = ControlAdapter().DecodeCatalog(
+      R"({"Version":1,"Routes":[{"Host":"h","PathPrefix":"/","Service":"s",
+          "TimeoutMs":18446744073709551615,"SloMs":18446744073709551615,
+          "MaxWaitS":1e300,"Attempts":4294967297}],"Services":[{"Name":"s"}]})");
+  ASSERT_TRUE(catalog.has_value()) << catalog.error().detail;
+  EXPECT_EQ(catalog->routes[0].timeout, milliseconds(86'400'000));
+  EXPECT_EQ(catalog->routes[0].latency_target, milliseconds(86'400'000));
+  EXPECT_EQ(catalog->routes[0].max_wait, milliseconds(86'400'000));
+  EXPECT_GT(catalog->routes[0].attempts, 1'000'000U);
+}
+
 TEST(GatewayAdapter, DecodesBackendAnswers) {
   const GatewayAdapter adapter;
   const auto answer = adapter.DecodeAnswer(*ParseResponseHead(
