Do not take a refusal without a request id for that of the current request

Cause: a faulty server writes an earlier refusal once more on a kept connection. One with the id of the earlier request is skipped already; one without an id was taken for the refusal of the current request, which the server then ran: it ran twice, or its caller was told not_run. Ruled out: refusing all answers without an id: the first answer on a connection can belong to no other request. Change: HttpClient marks a response as attributed when it names the request or is the first on its connection; an unattributed refusal ends the attempt as broken, with the run unknown. Measured: gateway_test: WithoutARequestIdDoesNotShowThatNothingRan failed before (the request ran at a second server) and passes; OfAnotherRequestIsSkipped passed before.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -399,6 +399,13 @@
   front_.RecordServerState(request.backend, answer);
   if (answer.not_run || answer.other_server) {
     const std::string backend = request.backend;
+    if (!head.attributed) {
+      // It may be the refusal of an earlier request on this connection.
+      LogWarn("refusal_unattributed",
+              {{"request", request.caller.id}, {"backend", backend}});
+      OnFailure(request, CallFailure::kBroken);
+      return;
+    }
     request.may_have_run = request.may_have_run_before;
     request.avoid.insert(backend);
     if (answer.other_server) {
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -56,6 +56,7 @@
     options_ = std::move(options);
     events_ = std::move(events);
     active_ = true;
+    ++calls_;
     mismatched_ = false;
     skipped_bytes_ = 0;
     head_.reset();
@@ -140,6 +141,7 @@
     }
     const std::string* echo = head->headers.Find(options_.request_id_header);
     mismatched_ = echo != nullptr && *echo != options_.request_id;
+    head->attributed = echo != nullptr || calls_ == 1;
     decoder_.emplace(head->framing, head->length);
     head_ = std::move(*head);
     if (mismatched_) {
@@ -260,6 +262,8 @@
   std::optional<ResponseHead> head_;
   std::optional<BodyDecoder> decoder_;
   bool active_ = false;
+  // Calls that this connection has been used for.
+  uint64_t calls_ = 0;
   // The response being read belongs to another request.
   bool mismatched_ = false;
   size_t skipped_bytes_ = 0;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -63,6 +63,9 @@
   BodyFraming framing = BodyFraming::kNone;
   uint64_t length = 0;
   bool keep_alive = true;
+  // Set by HttpClient: the response belongs to the call for certain, because it
+  // names the request or is the first on its connection.
+  bool attributed = true;
 };
 
 // Compares field names or tokens case-insensitively.
--- a/test/correctness/gateway_test.cc
+++ b/test/correctness/gateway_test.cc
@@ -207,6 +207,52 @@
   EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
 }
 
+// A faulty server writes an earlier refusal once more on a kept connection and
+// runs the request that the refusal is taken for.
+class RepeatedRefusalTest : public GatewayTest {
+ protected:
+  static std::string OkResponse(const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+           "\r\nResponse-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
+  }
+
+  // Returns the answer to a request that may run once. On its connection, e1
+  // has answered another request, and writes `refusal` before it answers.
+  std::string AnswerAfter(const std::string& refusal) {
+    RawServer faulty([&](Poco::Net::StreamSocket& socket, int) {
+      RawServer::ReadRequest(socket);
+      RawServer::Write(socket, OkResponse("q1"));
+      if (!RawServer::ReadRequest(socket).empty()) {
+        RawServer::Write(socket, refusal);
+        RawServer::Write(socket, OkResponse("q2"));
+      }
+    });
+    ScriptedServer other(OkResponse("q2"));
+    Open(RouteKind::kOnce, {&faulty, &other});
+    EXPECT_EQ(StatusOf(SendRequest("", "q1")), 200);
+    std::string answer = SendRequest("", "q2");
+    EXPECT_EQ(other.requests, 0) << "the request runs twice";
+    TearDown();
+    return answer;
+  }
+};
+
+TEST_F(RepeatedRefusalTest, OfAnotherRequestIsSkipped) {
+  EXPECT_EQ(StatusOf(AnswerAfter("HTTP/1.1 503 Busy\r\nRequest-Id: q1\r\n"
+                                 "Not-Run: 1\r\nContent-Length: 0\r\n\r\n")),
+            200);
+}
+
+TEST_F(RepeatedRefusalTest, WithoutARequestIdDoesNotShowThatNothingRan) {
+  for (const char* refusal :
+       {"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"}) {
+    const std::string answer = AnswerAfter(refusal);
+    EXPECT_EQ(StatusOf(answer), 502) << answer;
+    EXPECT_NE(answer.find("\"run\":\"unknown\""), std::string::npos) << answer;
+  }
+}
+
 constexpr char kLeavingResponse[] =
     "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nResponse-Stamp: s\r\n"
     "Server-Leaving: 1\r\nContent-Length: 2\r\n\r\nok";
