Resume a stream only with events

Cause: a stream had begun and broke off; the next server answered 200 with another body, 206 or 204, and the caller got that body's text, or a stream that ended as if it were complete. The head of an error inside a stream was forwarded as an event, and after it the stream counted as complete; the same for items, which were then listed as complete. An answer without framing and without events counted as a complete stream. Ruled out: statuses from 300 on, which ended in a retry or a broken stream before. Change: a stream goes on only with status 200 and events; lines before an empty one of which none belongs to an event break the attempt off; an answer that ends with its connection and had no event is broken.

--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -330,10 +330,9 @@
   load.leaving = true;
   leaving_[backend] = load.backend.started_unix_ms;
   if (leaving_.size() > kMaxLeaving) {
-    leaving_.erase(std::min_element(leaving_.begin(), leaving_.end(),
-                                    [](const auto& a, const auto& b) {
-                                      return a.second < b.second;
-                                    }));
+    leaving_.erase(std::min_element(
+        leaving_.begin(), leaving_.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
   }
   return true;
 }
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -19,9 +19,9 @@
 // A server that cannot be reached or does not complete an answer gets no new
 // requests for a backoff time that doubles with each failure. A server all of
 // whose streams have stalled gets none until it sends bytes again
-// (stall_policy.h). A server that has said in an answer that it leaves gets none
-// any more, also when its record is lost and comes back; a later start under the
-// same id is another process.
+// (stall_policy.h). A server that has said in an answer that it leaves gets
+// none any more, also when its record is lost and comes back; a later start
+// under the same id is another process.
 //
 // A pure state machine.
 #pragma once
--- a/src/gateway/event_parser.cc
+++ b/src/gateway/event_parser.cc
@@ -1,5 +1,8 @@
 #include "gateway/event_parser.h"
 
+#include <algorithm>
+#include <array>
+
 #include "http/message.h"
 
 namespace sequoialb {
@@ -13,10 +16,16 @@
   return value;
 }
 
+// Returns whether a line that is not empty is a comment or a known field.
+bool IsEventLine(std::string_view line) {
+  constexpr std::array<std::string_view, 4> kFields = {"id", "data", "event",
+                                                       "retry"};
+  const std::string_view name = line.substr(0, line.find(':'));
+  return name.empty() ||
+         std::find(kFields.begin(), kFields.end(), name) != kFields.end();
+}
+
 void ParseLine(std::string_view line, StreamEvent& event, bool& has_data) {
-  if (!line.empty() && line.back() == '\r') {
-    line.remove_suffix(1);
-  }
   const size_t colon = line.find(':');
   if (colon == std::string_view::npos) {
     return;
@@ -38,6 +47,7 @@
 
 void EventParser::Clear() {
   buffer_.clear();
+  foreign_ = false;
   line_begin_ = 0;
   searched_ = 0;
 }
@@ -60,7 +70,7 @@
 }
 
 std::optional<StreamEvent> EventParser::Next() {
-  const std::optional<size_t> end = FindEventEnd();
+  const std::optional<size_t> end = foreign_ ? std::nullopt : FindEventEnd();
   if (!end) {
     return std::nullopt;
   }
@@ -71,11 +81,25 @@
   searched_ = 0;
   std::string_view rest = event.raw;
   bool has_data = false;
+  bool has_line = false;
+  bool has_event_line = false;
   while (!rest.empty()) {
     const size_t feed = rest.find('\n');
-    ParseLine(rest.substr(0, feed), event, has_data);
+    std::string_view line = rest.substr(0, feed);
+    if (!line.empty() && line.back() == '\r') {
+      line.remove_suffix(1);
+    }
+    if (!line.empty()) {
+      has_line = true;
+      has_event_line = has_event_line || IsEventLine(line);
+      ParseLine(line, event, has_data);
+    }
     rest = feed == std::string_view::npos ? "" : rest.substr(feed + 1);
   }
+  if (has_line && !has_event_line) {
+    foreign_ = true;
+    return std::nullopt;
+  }
   return event;
 }
 
--- a/src/gateway/event_parser.h
+++ b/src/gateway/event_parser.h
@@ -26,7 +26,8 @@
  public:
   void Add(std::string_view bytes) { buffer_.append(bytes); }
 
-  // Returns the next event, or nothing until it is complete.
+  // Returns the next event, or nothing until it is complete, and nothing after
+  // foreign bytes.
   std::optional<StreamEvent> Next();
 
   // Returns whether bytes of an incomplete event are buffered.
@@ -34,6 +35,9 @@
   // Returns whether the incomplete event is longer than any real one. Call when
   // Next() returns nothing.
   bool too_long() const { return buffer_.size() > kMaxEventBytes; }
+  // Returns whether the stream has had lines before an empty one of which none
+  // is part of an event, such as the head of an error.
+  bool foreign() const { return foreign_; }
   void Clear();
 
   static constexpr size_t kMaxEventBytes = 262'144;
@@ -44,6 +48,7 @@
   std::optional<size_t> FindEventEnd();
 
   std::string buffer_;
+  bool foreign_ = false;
   // Where the first line begins whose end has not been found, and up to where
   // that end has been searched for.
   size_t line_begin_ = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -46,6 +46,18 @@
           run, std::max<int64_t>(0, quarantine.until_unix_ms() - UnixMs())};
 }
 
+bool IsEventStream(const ResponseHead& head) {
+  const std::string* type = head.headers.Find("Content-Type");
+  return type != nullptr &&
+         type->find("text/event-stream") != std::string::npos;
+}
+
+// Returns whether an answer can go on with a stream that another server began.
+// The caller has the head of that server's answer and gets only events.
+bool ContinuesStream(const ResponseHead& head) {
+  return head.status == 200 && IsEventStream(head);
+}
+
 std::string_view HostWithoutPort(std::string_view host) {
   return host.substr(0, host.find(':'));
 }
@@ -69,6 +81,8 @@
   TimePoint last_progress_at;
   // When the current server's answer began, or TimePoint().
   TimePoint begun_at;
+  // The current server has sent an event that the caller did not have.
+  bool has_event = false;
   // The end of the current answer is marked by its framing.
   bool end_marked = false;
   TimePoint deadline;
@@ -317,6 +331,7 @@
   request.sent_at = now;
   request.last_progress_at = TimePoint();
   request.begun_at = TimePoint();
+  request.has_event = false;
   request.item_stopped = choice.stop_item;
   request.may_have_run_before = request.may_have_run;
   request.may_have_run = true;
@@ -422,7 +437,8 @@
                 RetryElsewhereMs()});
     return;
   }
-  const bool success = head.status < 300;
+  const bool success =
+      head.status < 300 && (!request.head_forwarded || ContinuesStream(head));
   if (!success && CanRetry(request)) {
     const std::string backend = request.backend;
     request.avoid.insert(backend);
@@ -460,10 +476,9 @@
 
 void Gateway::ForwardHead(Request& request, const ResponseHead& head) {
   request.head_forwarded = true;
-  const std::string* type = head.headers.Find("Content-Type");
-  request.is_event_stream =
-      head.status < 300 && request.route->kind == RouteKind::kStream &&
-      type != nullptr && type->find("text/event-stream") != std::string::npos;
+  request.is_event_stream = head.status < 300 &&
+                            request.route->kind == RouteKind::kStream &&
+                            IsEventStream(head);
   HttpHeaders forwarded;
   for (const HttpHeader& header : head.headers.fields()) {
     if (!IsHopByHop(header.name, head.headers) &&
@@ -498,9 +513,10 @@
     request.exchange->Send(data);
   } else {
     ForwardEvents(request, data);
-    if (request.parser.too_long()) {
-      LogWarn("event_without_end",
-              {{"request", request.caller.id}, {"backend", request.backend}});
+    if (request.parser.too_long() || request.parser.foreign()) {
+      LogWarn(
+          request.parser.foreign() ? "bytes_not_an_event" : "event_without_end",
+          {{"request", request.caller.id}, {"backend", request.backend}});
       OnFailure(request, CallFailure::kBroken);
       return;
     }
@@ -533,13 +549,16 @@
     whole += event->raw;
   }
   if (progress) {
+    request.has_event = true;
     RecordProgress(request);
   }
   request.exchange->Send(whole);
 }
 
 void Gateway::OnComplete(Request& request) {
-  if (request.is_event_stream && request.parser.partial()) {
+  // An answer that ends with its connection may be cut anywhere.
+  const bool empty = !request.end_marked && !request.has_event;
+  if (request.is_event_stream && (request.parser.partial() || empty)) {
     OnFailure(request, CallFailure::kBroken);
     return;
   }
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -147,7 +147,9 @@
   };
   events.on_data = [this, &run](std::string_view data) { OnData(run, data); };
   events.on_complete = [this, &run] {
-    const bool whole = run.streaming && !run.parser.partial();
+    // An answer that ends with its connection may be cut anywhere.
+    const bool whole = run.streaming && !run.parser.partial() &&
+                       (run.end_marked || run.received_data);
     front_.crashes.RecordAlive(run.backend, front_.loop.now());
     if (whole) {
       front_.pool.RecordSuccess(run.backend);
@@ -238,6 +240,13 @@
       front_.crashes.RecordSound(run.shared_parts, run.last_progress_at);
     }
   }
+  if (run.parser.foreign()) {
+    LogWarn("item_bytes_not_an_event", {{"job", run.offer.job()},
+                                        {"item", run.offer.item().id()},
+                                        {"backend", run.backend}});
+    OnFailure(run, CallFailure::kBroken);
+    return;
+  }
   if (run.parser.too_long() || run.output.size() > kMaxOutputBytes) {
     RejectOutput(run);
   }
--- a/test/correctness/item_runner_test.cc
+++ b/test/correctness/item_runner_test.cc
@@ -142,6 +142,31 @@
 }
 
 // The status alone says that the attempt failed; its body never ends.
+// Guards against an item that is listed as complete although its output was
+// broken off by an error.
+TEST_F(ItemRunnerTest, AHeadInsideAnOutputReturnsTheItemWithItsProgress) {
+  RawServer server([](auto& socket, int) {
+    RawServer::ReadRequest(socket);
+    RawServer::Write(socket, std::string(kStreamHead) +
+                                 "id: 5\ndata: five\n\n"
+                                 "HTTP/1.1 500 Error\r\nX: y\r\n\r\n");
+  });
+  Open(server.address());
+  const proto::ItemOutcome outcome = RunItem();
+  EXPECT_EQ(outcome.kind(), proto::ItemOutcome::kReturned);
+  EXPECT_EQ(outcome.output(), "earlier\nfive");
+  EXPECT_EQ(outcome.last_event(), 5U);
+}
+
+TEST_F(ItemRunnerTest, AnUnframedAnswerWithoutEventsReturnsTheItem) {
+  RawServer server([](auto& socket, int) {
+    RawServer::ReadRequest(socket);
+    RawServer::Write(socket, kStreamHead);
+  });
+  Open(server.address());
+  ExpectReturnedUnchanged(RunItem());
+}
+
 TEST_F(ItemRunnerTest, AFailureWithABodyWithoutEndIsAFailure) {
   EndlessServer server("HTTP/1.1 500 Failed\r\nRequest-Id: i1\r\n\r\n", "x",
                        milliseconds(20));
