--- a/src/quarantine/crash_recorder.cc
+++ b/src/quarantine/crash_recorder.cc
@@ -1,6 +1,7 @@
 #include "quarantine/crash_recorder.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sequoialb {
 namespace {
