Ignore a reply whose list of quarantines was left out for another list

Cause: found by reading: a late reply of an earlier leader leaves its list out because the host had it when it asked; a host that has another list by now would take an empty one under that hash, and keep it if that list came back in force. And a 421 from another server at the address counted as a sign of life of the one that had crashed. Ruled out: the order of replies of one control host, which is checked; leaders are two hosts. Change: a list is taken only if it has the hash that the reply names; a 421 is no sign of life. Measured: quarantine_test: AReplyWithoutTheListOfItsHashIsIgnored; the new function's rule was absent before, so the case could not pass.

--- a/src/fleet/fleet_member.cc
+++ b/src/fleet/fleet_member.cc
@@ -160,9 +160,7 @@
 }
 
 void FleetMember::UpdateQuarantines(const proto::HelloReply& reply) {
-  if (reply.quarantines_hash() != last_confirmed_reply_.quarantines_hash()) {
-    last_confirmed_reply_.set_quarantines_hash(reply.quarantines_hash());
-    *last_confirmed_reply_.mutable_quarantines() = reply.quarantines();
+  if (TakeQuarantines(reply, last_confirmed_reply_)) {
     callbacks_.on_quarantines(last_confirmed_reply_.quarantines());
   }
   std::set<std::string> watched(reply.watched_parts().begin(),
--- a/src/gateway/front_view.cc
+++ b/src/gateway/front_view.cc
@@ -6,13 +6,13 @@
 
 void FrontShared::RecordServerState(const std::string& backend,
                                     const BackendAnswer& answer) {
-  const TimePoint now = loop.now();
-  crashes.RecordAlive(backend, now);
   // The answer of another server at the same address says nothing about this
   // one.
   if (answer.other_server) {
     return;
   }
+  const TimePoint now = loop.now();
+  crashes.RecordAlive(backend, now);
   if (answer.load) {
     pool.RecordServerLoad(backend, *answer.load, now);
   }
--- a/src/quarantine/quarantine_list.cc
+++ b/src/quarantine/quarantine_list.cc
@@ -42,6 +42,16 @@
   return Hash64(text);
 }
 
+bool TakeQuarantines(const proto::HelloReply& reply, proto::HelloReply& known) {
+  if (reply.quarantines_hash() == known.quarantines_hash() ||
+      reply.quarantines_hash() != HashOf(reply.quarantines())) {
+    return false;
+  }
+  known.set_quarantines_hash(reply.quarantines_hash());
+  *known.mutable_quarantines() = reply.quarantines();
+  return true;
+}
+
 std::string PartsText(const std::vector<std::string>& parts) {
   std::string text;
   for (const std::string& part : parts) {
--- a/src/quarantine/quarantine_list.h
+++ b/src/quarantine/quarantine_list.h
@@ -26,6 +26,12 @@
 // Returns a hash by which hosts compare their lists; 0 for an empty list.
 uint64_t HashOf(const Quarantines& quarantines);
 
+// Takes the list of a leader's reply over into `known`, and returns whether it
+// has changed. A reply leaves its list out when the host had the same one at
+// the time of its heartbeat; such a reply is ignored if the host has another
+// one by now.
+bool TakeQuarantines(const proto::HelloReply& reply, proto::HelloReply& known);
+
 // Returns the parts as "a+b", for logs and error messages.
 std::string PartsText(const std::vector<std::string>& parts);
 std::string PartsText(const proto::Quarantine& quarantine);
--- a/test/correctness/quarantine_test.cc
+++ b/test/correctness/quarantine_test.cc
@@ -570,6 +570,24 @@
   EXPECT_EQ(Texts(loaded.quarantines()).front(), "n0+dead");
 }
 
+// Guards against an empty list under the hash of another one, after a late
+// reply of an earlier leader.
+TEST(QuarantineList, AReplyWithoutTheListOfItsHashIsIgnored) {
+  proto::HelloReply full;
+  full.add_quarantines()->add_parts("dead");
+  full.set_quarantines_hash(HashOf(full.quarantines()));
+  proto::HelloReply known;
+  EXPECT_TRUE(TakeQuarantines(full, known));
+  EXPECT_FALSE(TakeQuarantines(full, known));
+  proto::HelloReply left_out;
+  left_out.set_quarantines_hash(full.quarantines_hash() + 1);
+  EXPECT_FALSE(TakeQuarantines(left_out, known));
+  EXPECT_EQ(Texts(known.quarantines()), Parts{"dead"});
+  EXPECT_EQ(known.quarantines_hash(), full.quarantines_hash());
+  EXPECT_TRUE(TakeQuarantines(proto::HelloReply(), known));
+  EXPECT_TRUE(known.quarantines().empty());
+}
+
 TEST(QuarantineList, CoversRequestsWithAllOfItsParts) {
   Quarantines list;
   proto::Quarantine& quarantine = *list.Add();
