--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -129,6 +129,7 @@
               " items are listed; last read: " + std::to_string(last_status));
   stop = true;
   writer.join();
+  WriteRuns(record, engines);
   engines.clear();
   if (accepted != 202) {
     return 2;
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -98,6 +98,7 @@
                   {{"Host", "desk.example"}, {"Key", kTenant.key}}, "", 2'500);
     }
     const size_t round_dead = Count(read.body, "\"dead\"");
+    record.Line("results: " + read.body);
     dead += round_dead;
     complete += Count(read.body, "\"complete\"");
     record.Line("job " + id + ": " +
@@ -111,6 +112,7 @@
   record.Line("the engines ran " + std::to_string(run) +
               " items and failed none; listed: " + std::to_string(complete) +
               " complete, " + std::to_string(dead) + " dead");
+  WriteRuns(record, engines);
   engines.clear();
   if (jobs == 0) {
     return 2;
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -123,6 +123,7 @@
                 std::to_string(Results(read)) + " results");
     SleepMs(500);
   }
+  WriteRuns(record, engines);
   engines.clear();
   if (retire != 200) {
     return 2;
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -63,6 +63,8 @@
                   {"Request-Id", id},
                   {"Deadline-Ms", "5000"}},
                  "{}", 5'000);
+        record.Line(id + ": " + std::to_string(answer.status) +
+                    (answer.complete ? " whole" : " not whole"));
         if (answer.status == 200 && answer.complete) {
           ++served;
         } else {
@@ -110,6 +112,7 @@
               std::to_string(late) + " later than DrainMs after, the last " +
               std::to_string(last_ms - gone_ms) + " ms after; of these " +
               std::to_string(lost) + " were not answered whole");
+  WriteRuns(record, engines);
   engines.clear();
   if (status != 200 || before == 0) {
     return 2;
--- a/review/stand_in/deployment.h
+++ b/review/stand_in/deployment.h
@@ -5,8 +5,7 @@
 
 #include <sys/types.h>
 
-#include <functional>
-#include <memory>
+#include <cstdio>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -75,7 +74,7 @@
   // Sends a configuration to the control hosts in turn until one acknowledges
   // it or the time has passed.
   bool PutConfiguration(const std::string& content, int64_t timeout_ms);
-  // Waits until all fronts are ready and `probe` succeeds.
+  // Waits until all fronts answer that they are ready.
   bool WaitUntilServing(int64_t timeout_ms);
   // Returns the host whose metrics say that it leads a group, or -1.
   int LeaderOf(const std::string& group) const;
--- a/review/stand_in/engine.cc
+++ b/review/stand_in/engine.cc
@@ -186,6 +186,17 @@
   return connection.Send("0\r\n\r\n");
 }
 
+void WriteRuns(Record& record,
+               const std::vector<std::unique_ptr<Engine>>& engines) {
+  for (const auto& engine : engines) {
+    for (const Run& run : engine->Runs()) {
+      record.Line("run: " + run.engine + " began " + run.request + " (" +
+                  run.target + ", " + run.tenant + ") at " +
+                  std::to_string(run.at_ms) + " ms");
+    }
+  }
+}
+
 std::vector<Run> Engine::Runs() {
   const std::lock_guard<std::mutex> lock(mutex_);
   return runs_;
--- a/review/stand_in/engine.h
+++ b/review/stand_in/engine.h
@@ -3,13 +3,13 @@
 #pragma once
 
 #include <atomic>
-#include <functional>
+#include <memory>
 #include <mutex>
-#include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "deployment.h"
 #include "http.h"
 
 namespace review {
@@ -86,4 +86,8 @@
   std::thread announcer_;
 };
 
+// Writes all that the engines have run to the record.
+void WriteRuns(Record& record,
+               const std::vector<std::unique_ptr<Engine>>& engines);
+
 }  // namespace review
