Review case 4: one caller a front; all processes start from the main thread

A process that a stand-in's thread had started could have been ended with that thread. One caller a front leaves the front idle more often between two requests.

--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,7 +1,7 @@
 // Fronts are stopped in turn by SIGTERM while callers use kept connections.
 #include <signal.h>
 
-#include <atomic>
+#include <algorithm>
 #include <cstdio>
 #include <memory>
 #include <random>
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr int kFronts = 4;
-constexpr int kCallers = 2;
+constexpr int kCallers = 1;
 constexpr int kRolls = 8;
 // Between the stops of two fronts, as in a rolling restart.
 constexpr int64_t kGapMs = 1'300;
@@ -101,7 +101,7 @@
   std::mt19937 random(std::random_device{}());
   // The callers' pauses between two requests, and how long before the SIGTERM
   // they send the first one.
-  std::uniform_int_distribution<int> think_ms(20, 150);
+  std::uniform_int_distribution<int> think_ms(20, 120);
   std::uniform_int_distribution<int> before_ms(20, 300);
   int answered = 0;
   int lost = 0;
@@ -122,10 +122,12 @@
                            {}});
       }
     }
-    const int64_t begin_ms = NowMs();
+    const auto stop_at_ms = [begin_ms = NowMs()](int i) {
+      return begin_ms + 500 + i * kGapMs;
+    };
     std::vector<std::thread> threads;
     for (int i = 0; i < kFronts; ++i) {
-      const int64_t at_ms = begin_ms + 500 + i * kGapMs;
+      const int64_t at_ms = stop_at_ms(i);
       for (int j = 0; j < kCallers; ++j) {
         threads.emplace_back(
             [&callers, i, j, begin = at_ms - before_ms(random)] {
@@ -133,20 +135,32 @@
               callers[static_cast<size_t>(kCallers * i + j)].Run();
             });
       }
-      threads.emplace_back([&, i, at_ms] {
-        SleepMs(at_ms - NowMs());
-        stopped_ms[static_cast<size_t>(i)] = NowMs();
-        if (!WithTrouble()) {
-          return;
+    }
+    // The main thread starts all processes, because they end with the thread
+    // that started them.
+    std::vector<bool> restarted(kFronts, !WithTrouble());
+    while (std::count(restarted.begin(), restarted.end(), false) > 0) {
+      for (int i = 0; i < kFronts; ++i) {
+        const auto front = static_cast<size_t>(i);
+        const size_t host = deployment.front(front);
+        if (restarted[front] || NowMs() < stop_at_ms(i)) {
+          continue;
+        }
+        if (stopped_ms[front] == 0) {
+          stopped_ms[front] = NowMs();
+          deployment.Signal(host, SIGTERM);
         }
-        const size_t host = deployment.front(static_cast<size_t>(i));
-        deployment.Signal(host, SIGTERM);
-        if (!deployment.WaitForEnd(host, kGraceMs)) {
+        const bool late = NowMs() > stopped_ms[front] + kGraceMs;
+        if (late) {
           deployment.Signal(host, SIGKILL);
         }
-        record.Line("ended " + deployment.name(host));
-        deployment.Start(host, false);
-      });
+        if (late || deployment.WaitForEnd(host, 1)) {
+          record.Line("ended " + deployment.name(host));
+          deployment.Start(host, false);
+          restarted[front] = true;
+        }
+      }
+      SleepMs(1);
     }
     for (std::thread& thread : threads) {
       thread.join();
@@ -176,6 +190,7 @@
   }
   record.Line("answered " + std::to_string(answered) + ", lost " +
               std::to_string(lost));
+  WriteRuns(record, engines);
   engines.clear();
   if (answered == 0) {
     return 2;
