--- a/test/correctness/fleet_path_test.cc
+++ b/test/correctness/fleet_path_test.cc
@@ -58,6 +58,24 @@
             400);
 }
 
+// Guards against an announcement whose bytes make every reply of the control
+// leader unreadable, so that all fronts lose their authority.
+TEST_F(FleetEndToEnd, AnAnnouncementThatIsNotUtf8StopsNoFront) {
+  for (const int control : {0, 1, 2}) {
+    Call(ControlAt(control), "PUT /sequoialb/instances/other", "",
+         "{\"Service\":\"s\",\"Addr\":\"127.0.0.9:9\",\"Zone\":\"z\xff\xfe\","
+         "\"Slots\":4,\"State\":\"ready\",\"Seq\":1}");
+  }
+  // The change needs a readable reply of the leader.
+  ASSERT_EQ(PutConfig(2, "k2").status, 200);
+  for (const int front : {6, 7}) {
+    WaitUntil([&] {
+      AnnounceEngines();
+      return PostStreamRequest("q", front, "k2").status == 200;
+    });
+  }
+}
+
 TEST_F(FleetEndToEnd, StreamResumesOnAnotherEngine) {
   for (const auto fault : {PlatformEngine::StreamFault::kReset,
                            PlatformEngine::StreamFault::kStall}) {
--- a/test/correctness/fleet_test.cc
+++ b/test/correctness/fleet_test.cc
@@ -107,6 +107,28 @@
   EXPECT_TRUE(UsableIds(directory, kNow).empty());
 }
 
+// Guards against a caller's or a server's bytes that make a message between
+// hosts unreadable, and with it everything else that it holds.
+TEST(FleetMessage, CarriesTextThatIsNotUtf8) {
+  const std::string text = "caf\xe9";
+  proto::FleetMessage hello;
+  proto::BackendCrash& crash = *hello.mutable_hello()->add_crashes();
+  crash.set_backend(text);
+  crash.add_requests()->add_parts(text);
+  proto::FleetMessage reply;
+  *reply.mutable_hello_reply()->add_backends() = Record(text, 100, 5);
+  proto::FleetMessage call;
+  proto::JobItem& item =
+      *call.mutable_job_call()->mutable_submit()->add_items();
+  item.set_id(text);
+  item.add_headers()->set_value(text);
+  for (const proto::FleetMessage& message : {hello, reply, call}) {
+    proto::FleetMessage received;
+    EXPECT_TRUE(received.ParseFromString(message.SerializeAsString()));
+    EXPECT_EQ(received.SerializeAsString(), message.SerializeAsString());
+  }
+}
+
 // Of the heartbeats of a second, four go to the leader and two to each other
 // control host; all go to all while no leader answers.
 TEST(HeartbeatPolicy, FollowersGetEverySecondHeartbeat) {
--- a/test/correctness/platform_adapter_test.cc
+++ b/test/correctness/platform_adapter_test.cc
@@ -144,6 +144,28 @@
   }
 }
 
+// Guards against text of another writer that the messages between hosts cannot
+// carry: raw bytes, an overlong form, a surrogate, and the escape of one.
+TEST(ControlAdapter, RejectsTextThatIsNotUtf8) {
+  const ControlAdapter adapter;
+  const auto announce = [&](const std::string& zone) {
+    return adapter
+        .Decode(Head("PUT /sequoialb/instances/i-1"),
+                R"({"Service":"s","Addr":"10.0.0.9:80","Zone":")" + zone +
+                    R"(","Slots":8,"State":"ready","Seq":4})")
+        .has_value();
+  };
+  EXPECT_TRUE(announce("\xd0\xb7\xf0\x9f\x9b\xb6"));
+  EXPECT_TRUE(announce(R"(\u0437\ud83d\udef6)"));
+  for (const char* zone :
+       {"z\xff\xfe", "\xc0\xaf", "\xed\xa0\x80", "\xd0", R"(\udc00)"}) {
+    EXPECT_FALSE(announce(zone)) << zone;
+    std::string catalog = kConfig;
+    catalog.replace(catalog.find("\"t\""), 3, std::string("\"") + zone + '"');
+    EXPECT_FALSE(adapter.DecodeCatalog(catalog).has_value()) << zone;
+  }
+}
+
 TEST(ControlAdapter, DecodesRequestsWithoutBody) {
   const ControlAdapter adapter;
   const auto request_index = [&](const std::string& line) {
