Run a batch item only by a catalog that knows its job

Cause: a front that got an item looked its route up in its own catalog and ended the item when it found none. A front learns a catalog up to 250 ms after others, and acts on the older one for up to 4.75 s when it is cut off. Neither the job nor the offer named the catalog by which the job had been accepted.

Ruled out: fronts without a catalog (they offer no slots), a job accepted by a front without the route (404).

Change: the job records the version of its catalog, fronts report theirs, and an item is offered only to a front whose catalog is not older. A front that gets one of a newer catalog waits and then returns it. It therefore also runs no item by the service that its route had before.

Evidence: ItemSchedulerTest.AFrontWithAnOlderCatalogGetsNoItems and ItemRunnerTest.AnItemOfANewerCatalogIsReturned fail with the check taken out and pass with it; AnItemWhoseRouteWasRemovedIsNeverPossible passes with both.

--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -86,11 +86,19 @@
     return false;
   }
   const CatalogIndex& catalog = *front_.view.catalog;
+  if (catalog.version() < run.offer.catalog_version()) {
+    // The job was accepted by a newer catalog, which may have added its route
+    // or moved it to another service.
+    return false;
+  }
   const Route* route =
       catalog.FindRoute(run.offer.route_host(), run.offer.item().path());
   if (route == nullptr) {
     LogInfo("item_without_route",
-            {{"job", run.offer.job()}, {"item", run.offer.item().id()}});
+            {{"job", run.offer.job()},
+             {"item", run.offer.item().id()},
+             {"catalog", std::to_string(catalog.version())},
+             {"accepted_by", std::to_string(run.offer.catalog_version())}});
     End(run, proto::ItemOutcome::kNeverPossible);
     return true;
   }
@@ -360,6 +368,9 @@
     waiting += run->call == nullptr ? 1 : 0;
   }
   report.set_incarnation(incarnation_);
+  if (front_.view.catalog != nullptr) {
+    report.set_catalog_version(front_.view.catalog->version());
+  }
   if (front_.view.draining || !front_.view.has_authority()) {
     return;
   }
--- a/src/jobs/item_scheduler.cc
+++ b/src/jobs/item_scheduler.cc
@@ -87,9 +87,10 @@
   for (const auto& entry : report.room()) {
     free_slots += entry.items();
   }
-  fronts_[front] = {now, free_slots};
+  FrontState& state = fronts_[front];
+  state = {now, free_slots, report.catalog_version()};
   if (now >= no_offers_until_ && free_slots > 0) {
-    OfferItems(front, free_slots, now, answer);
+    OfferItems(front, state, answer);
   }
 }
 
@@ -116,11 +117,11 @@
 }
 
 std::vector<ItemScheduler::Candidate> ItemScheduler::WaitingByPriority(
-    TimePoint now) const {
+    uint64_t catalog_version, TimePoint now) const {
   std::vector<Candidate> waiting;
   const int64_t unix_now = UnixMs();
   for (const auto& [id, job] : jobs_.jobs()) {
-    if (!job.open()) {
+    if (!job.open() || job.job.catalog_version() > catalog_version) {
       continue;
     }
     for (const JobItemState& item : job.items) {
@@ -163,14 +164,17 @@
   return others_have_room ? 0 : 1;
 }
 
-void ItemScheduler::OfferItems(const std::string& front, size_t free_slots,
-                               TimePoint now, proto::ItemOffers& answer) {
-  const std::vector<Candidate> waiting = WaitingByPriority(now);
+void ItemScheduler::OfferItems(const std::string& front,
+                               const FrontState& state,
+                               proto::ItemOffers& answer) {
+  const TimePoint now = state.reported_at;
+  const std::vector<Candidate> waiting =
+      WaitingByPriority(state.catalog_version, now);
   if (waiting.empty()) {
     return;
   }
-  const size_t offers = std::min(
-      {free_slots, waiting.size(), FairOffers(front, waiting.size(), now)});
+  const size_t offers = std::min({state.free_slots, waiting.size(),
+                                  FairOffers(front, waiting.size(), now)});
   for (size_t i = 0; i < offers; ++i) {
     AddOffer(front, waiting[i], now, answer);
   }
@@ -186,6 +190,7 @@
   *offer.mutable_item() = *next.item->item;
   offer.set_due_left_ms(next.due_at - UnixMs());
   offer.set_attempt(next_attempt_++);
+  offer.set_catalog_version(next.job->job.catalog_version());
   const auto progress = progress_.find(key);
   if (progress != progress_.end()) {
     offer.set_output(progress->second.output);
--- a/src/jobs/item_scheduler.h
+++ b/src/jobs/item_scheduler.h
@@ -106,16 +106,21 @@
   struct FrontState {
     TimePoint reported_at;
     size_t free_slots = 0;
+    uint64_t catalog_version = 0;
   };
 
   // Returns how many items the front may get with this report, so that the
   // items are spread over all fronts.
   size_t FairOffers(const std::string& front, size_t waiting,
                     TimePoint now) const;
-  void OfferItems(const std::string& front, size_t free_slots, TimePoint now,
+  void OfferItems(const std::string& front, const FrontState& state,
                   proto::ItemOffers& answer);
   bool IsQuarantined(const JobItemState& item) const;
-  std::vector<Candidate> WaitingByPriority(TimePoint now) const;
+  // Returns the waiting items that a front with this catalog may run. A front
+  // with an older catalog than the one that a job was accepted by may not know
+  // the job's route.
+  std::vector<Candidate> WaitingByPriority(uint64_t catalog_version,
+                                           TimePoint now) const;
   void AddOffer(const std::string& front, const Candidate& next, TimePoint now,
                 proto::ItemOffers& answer);
   // Estimates how much longer an item will take, interruptions included.
--- a/src/jobs/job_handler.cc
+++ b/src/jobs/job_handler.cc
@@ -26,6 +26,7 @@
   }
   record->set_account(account.name);
   record->set_route_host(route.host);
+  record->set_catalog_version(front_.view.catalog->version());
   record->set_attempts(route.attempts);
   record->set_due_ms(route.due.count());
   record->set_give_up_ms(route.max_wait.count());
--- a/test/correctness/item_runner_test.cc
+++ b/test/correctness/item_runner_test.cc
@@ -62,12 +62,14 @@
   // ended.
   proto::ItemOutcome RunItem() {
     thread_.Run([this] {
-      proto::ItemOffer offer;
+      proto::ItemOffer offer = offer_;
       offer.set_job("j");
       offer.set_account("a");
       offer.set_route_host("h.example");
       offer.mutable_item()->set_id("i1");
-      offer.mutable_item()->set_path("/a/x");
+      if (offer.item().path().empty()) {
+        offer.mutable_item()->set_path("/a/x");
+      }
       offer.set_output("earlier");
       offer.set_last_event(4);
       offer.set_has_last_event(true);
@@ -82,6 +84,9 @@
     return ended.get();
   }
 
+  // The fields of the offer that differ from the usual one.
+  proto::ItemOffer offer_;
+
   static void ExpectReturnedUnchanged(const proto::ItemOutcome& outcome) {
     EXPECT_EQ(outcome.kind(), proto::ItemOutcome::kReturned);
     EXPECT_EQ(outcome.output(), "earlier");
@@ -94,6 +99,7 @@
       return;
     }
     runner_->CheckStalls();
+    runner_->StartWaiting();
     thread_.loop().RunAt(thread_.loop().now() + milliseconds(30),
                          [this] { CheckStallsRepeatedly(); });
   }
@@ -107,6 +113,22 @@
   std::unique_ptr<ItemRunner> runner_;
 };
 
+// Guards against an item that is recorded as dead because this front does not
+// have the catalog that added the item's route yet.
+TEST_F(ItemRunnerTest, AnItemOfANewerCatalogIsReturned) {
+  Open({"127.0.0.1", 1});
+  offer_.mutable_item()->set_path("/new/x");
+  offer_.set_catalog_version(2);
+  ExpectReturnedUnchanged(RunItem());
+}
+
+TEST_F(ItemRunnerTest, AnItemWhoseRouteWasRemovedIsNeverPossible) {
+  Open({"127.0.0.1", 1});
+  offer_.mutable_item()->set_path("/old/x");
+  offer_.set_catalog_version(1);
+  EXPECT_EQ(RunItem().kind(), proto::ItemOutcome::kNeverPossible);
+}
+
 TEST_F(ItemRunnerTest, AnEventWithoutEndReturnsTheItem) {
   EndlessServer server(std::string(kStreamHead) + "id: 5\ndata: ",
                        std::string(4'096, 'x'));
--- a/test/correctness/jobs_test.cc
+++ b/test/correctness/jobs_test.cc
@@ -109,8 +109,10 @@
   void SetUp() override { scheduler_.StartLeading(At(0)); }
   proto::ItemOffers Report(const std::string& front, TimePoint now,
                            uint32_t free_slots,
-                           const std::vector<proto::ItemName>& in_hand = {}) {
+                           const std::vector<proto::ItemName>& in_hand = {},
+                           uint64_t catalog_version = 0) {
     proto::ItemReport report;
+    report.set_catalog_version(catalog_version);
     for (const auto& name : in_hand) {
       *report.add_in_hand() = name;
     }
@@ -152,6 +154,19 @@
   EXPECT_EQ(Report("front", At(1'100), 8).offers_size(), 1);
 }
 
+// Guards against an item that a front with an older catalog gets, which does
+// not know the job's route and ends the item.
+TEST_F(ItemSchedulerTest, AFrontWithAnOlderCatalogGetsNoItems) {
+  proto::JobRecord job = Job("j", 2);
+  job.set_catalog_version(7);
+  Accept(job);
+  EXPECT_EQ(Report("behind", At(800), 5, {}, 6).offers_size(), 0);
+  const auto offers = Report("current", At(810), 1, {}, 7);
+  ASSERT_EQ(offers.offers_size(), 1);
+  EXPECT_EQ(offers.offers(0).catalog_version(), 7U);
+  EXPECT_EQ(Report("newer", At(820), 1, {}, 9).offers_size(), 1);
+}
+
 TEST_F(ItemSchedulerTest, ANewLeaderCollectsReportsBeforeItOffersItems) {
   Accept(Job("j", 1));
   EXPECT_EQ(Report("f1", At(100), 5).offers_size(), 0);
