Stop a front only when it holds no request, and take no late ones

Cause: the stopping thread read a count of requests that the traffic thread wrote every 100 ms, and ended the process while the traffic thread went on taking requests. Connections that were busy when the idle ones were closed took further requests, whatever time was left.

Ruled out: an early SIGKILL (the process ends by itself), the server breaking off.

Change: the check and the closing of the servers are one step on the traffic thread. Bytes that the kernel has not taken count as a request in progress. A draining front refuses at once, as not run, what might last beyond its end, unless the load balancer cannot know of the stop yet (drain_policy.h). The same holds for calls of operators and servers at a control host, which ended after 400 ms whatever was in progress.

With the old drain there was no step to test for ClosesOnlyWithoutARequestAndThenTakesNone, AnUnsentAnswerIsInProgress and ADrainingFrontTakesOnlyWhatItCanAnswer.

--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -1,6 +1,7 @@
 #include "fleet/fleet_host.h"
 
 #include <algorithm>
+#include <future>
 
 #include "base/hash.h"
 #include "fleet/boot_clock.h"
@@ -539,7 +540,6 @@
 void FleetHost::ReportItems() {
   loop_.RunAt(loop_.now() + kItemReportInterval, [this] { ReportItems(); });
   item_runner_->StartWaiting();
-  active_requests_ = front_server_->busy();
   proto::ItemReport report;
   item_runner_->Report(report);
   if (loop_.now() >= next_summary_at_) {
@@ -602,7 +602,7 @@
 }
 
 void FleetHost::OnReadyRequest(const std::shared_ptr<HttpExchange>& exchange) {
-  const bool ready = front_->view.has_authority() && !front_->view.draining;
+  const bool ready = front_->view.has_authority() && !front_->view.draining();
   exchange->Respond(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n");
 }
 
@@ -612,10 +612,25 @@
   PostControl([this, settings] { member_->SetSeeds(settings.seed_peers()); });
 }
 
+bool FleetHost::CloseServersIfIdle(TimePoint limit) {
+  const auto closed = std::make_shared<std::promise<bool>>();
+  std::future<bool> outcome = closed->get_future();
+  // Runs on the traffic thread, so that no request can arrive between the check
+  // and the end of the process.
+  loop_.Post([this, closed] {
+    const bool front_closed =
+        front_server_ == nullptr || front_server_->CloseIfIdle();
+    const bool control_closed =
+        control_server_ == nullptr || control_server_->CloseIfIdle();
+    closed->set_value(front_closed && control_closed);
+  });
+  return outcome.wait_until(limit) == std::future_status::ready &&
+         outcome.get();
+}
+
 void FleetHost::Drain() {
   const TimePoint begin = Clock::now();
   const TimePoint limit = begin + settings_.stop_grace - kExitMargin;
-  LogInfo("draining", {{"busy", std::to_string(active_requests_.load())}});
   PostControl([this] {
     member_->Leave();
     if (control_ != nullptr) {
@@ -625,20 +640,29 @@
       store_->StepDown(BootNow());
     }
   });
-  if (front_ == nullptr) {
-    std::this_thread::sleep_for(kHandoverTime);
-    return;
-  }
-  loop_.Post([this] {
-    front_->view.draining = true;
-    item_runner_->StopAll();
-    front_server_->Drain(loop_.now() + kBalancerDetectionTime);
+  const milliseconds detection =
+      front_ == nullptr ? kHandoverTime : kBalancerDetectionTime;
+  loop_.Post([this, begin, limit, detection] {
+    size_t busy = 0;
+    for (HttpServer* server : {front_server_.get(), control_server_.get()}) {
+      if (server != nullptr) {
+        busy += server->busy();
+        server->Drain(begin + detection);
+      }
+    }
+    if (front_ != nullptr) {
+      front_->view.drain = DrainSchedule{begin + detection, limit};
+      item_runner_->StopAll();
+    }
+    LogInfo("draining", {{"busy", std::to_string(busy)}});
   });
-  std::this_thread::sleep_for(kBalancerDetectionTime + kItemReportInterval * 2);
-  while (active_requests_ > 0 && Clock::now() < limit) {
+  std::this_thread::sleep_until(std::min(begin + detection, limit));
+  bool closed = CloseServersIfIdle(limit);
+  while (!closed && Clock::now() < limit) {
     std::this_thread::sleep_for(kDrainPollInterval);
+    closed = CloseServersIfIdle(limit);
   }
-  LogInfo("drained", {{"busy", std::to_string(active_requests_.load())}});
+  LogInfo("drained", {{"requests_left", closed ? "no" : "yes"}});
 }
 
 FleetHost::~FleetHost() {
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -48,6 +48,10 @@
   void Drain();
 
  private:
+  // Closes the servers for callers and operators if neither has a request in
+  // progress. Returns false if one has, or if the traffic thread has not
+  // answered by `limit`.
+  bool CloseServersIfIdle(TimePoint limit);
   FleetHost(const FleetSettings& settings, const GatewayProtocol& gateway,
             const ControlProtocol& control);
   Status Open();
@@ -112,8 +116,6 @@
   // Tasks posted to the control thread.
   TaskQueue control_tasks_;
   std::atomic<bool> stopping_{false};
-  // Requests that front_server_ is reading or answering, for Drain().
-  std::atomic<size_t> active_requests_{0};
   std::thread control_thread_;
   std::thread traffic_thread_;
 };
--- a/src/gateway/front_view.h
+++ b/src/gateway/front_view.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/hash.h"
@@ -11,6 +12,7 @@
 #include "fleet/boot_clock.h"
 #include "gateway/authority_policy.h"
 #include "gateway/backend_pool.h"
+#include "gateway/drain_policy.h"
 #include "http/http_client.h"
 #include "observe/metrics.h"
 #include "quarantine/crash_recorder.h"
@@ -24,9 +26,18 @@
   std::shared_ptr<const CatalogIndex> catalog;
   // The front's authority lease, on the clock of BootNow.
   AuthorityStatus authority{BootNow(), TimePoint(), TimePoint()};
-  bool draining = false;
+  // Set once the front has been told to stop.
+  std::optional<DrainSchedule> drain;
   Quarantines quarantines;
 
+  bool draining() const { return drain.has_value(); }
+
+  // Returns whether the front takes a request that ends at `latest_end` at the
+  // latest.
+  bool TakesRequest(TimePoint received_at, TimePoint latest_end) const {
+    return !drain || TakesWhileDraining(*drain, received_at, latest_end);
+  }
+
   // Returns whether the authority lease is valid, so that the front may act on
   // the catalog. Checked just before bytes are sent to a backend server,
   // because the process may have been suspended since an earlier check.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -58,6 +58,11 @@
   return head.status == 200 && IsEventStream(head);
 }
 
+// Returns how long a request may take from its arrival.
+milliseconds TimeLimit(const Route& route, const CallerRequest& caller) {
+  return std::min(route.timeout, caller.time_left.value_or(route.timeout));
+}
+
 std::string_view HostWithoutPort(std::string_view host) {
   return host.substr(0, host.find(':'));
 }
@@ -164,6 +169,13 @@
     refuse(error.code, error.detail, error.retry_after_ms);
     return;
   }
+  const TimePoint received_at = exchange->received_at();
+  if (!front_.view.TakesRequest(received_at,
+                                received_at + TimeLimit(*route, caller))) {
+    const Error error = DrainRefusal();
+    refuse(error.code, error.detail, error.retry_after_ms);
+    return;
+  }
   if (route->kind == RouteKind::kBatch) {
     if (account == nullptr) {
       refuse(ErrorCode::kNoKey,
@@ -189,8 +201,7 @@
   request.caller = std::move(caller);
   request.last_event = request.caller.last_event;
   request.arrived_at = exchange->received_at();
-  const milliseconds limit =
-      std::min(route.timeout, request.caller.time_left.value_or(route.timeout));
+  const milliseconds limit = TimeLimit(route, request.caller);
   request.deadline = request.arrived_at + limit;
   milliseconds& longest = longest_time_left_[route.name];
   longest = std::max(longest, limit);
--- a/src/gateway/refusal.cc
+++ b/src/gateway/refusal.cc
@@ -28,6 +28,12 @@
   exchange.Respond(status, headers, JsonLine(body));
 }
 
+Error DrainRefusal() {
+  return {ErrorCode::kShuttingDown,
+          "this front is stopping and may not be able to answer in time",
+          RunState::kNotRun, 0};
+}
+
 void LogRefusal(const std::string& request, const std::string& account,
                 const std::string& route, const Error& error, Duration held,
                 bool returning) {
--- a/src/gateway/refusal.h
+++ b/src/gateway/refusal.h
@@ -16,6 +16,10 @@
 void Refuse(const FrontShared& front, HttpExchange& exchange,
             const Error& error);
 
+// Returns the refusal of a request that a draining front does not take. The
+// caller may return at once, because it gets to another front.
+Error DrainRefusal();
+
 // Writes the log line of a request that ends without a complete answer of a
 // backend server. `returning` says whether its caller had been refused before.
 void LogRefusal(const std::string& request, const std::string& account,
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -39,7 +39,9 @@
     DropExchange();
   }
 
-  bool busy() const { return exchange_ != nullptr || head_.has_value(); }
+  bool busy() const {
+    return exchange_ != nullptr || head_.has_value() || stream_.unsent() > 0;
+  }
   size_t unsent() const { return stream_.unsent(); }
 
   void WriteHead(int status, const HttpHeaders& headers, bool chunked,
@@ -92,18 +94,16 @@
     Remove();
   }
 
-  // Closes the connection if it is idle and `close_idle` is set. A busy
-  // connection closes after its response if the response starts during the
-  // drain.
-  void Drain(bool close_idle) {
-    if (busy() || !stream_.input().empty()) {
-      return;
-    }
-    if (close_idle) {
+  // Closes the connection if it is idle. A busy connection closes after its
+  // response if the response starts during the drain.
+  void Drain() {
+    if (!busy() && stream_.input().empty()) {
       Remove();
     }
   }
 
+  void Close() { Remove(); }
+
  private:
   bool KeepsOpen() const {
     return !server_.draining_ && exchange_ != nullptr &&
@@ -394,10 +394,31 @@
 }
 
 HttpServer::~HttpServer() {
+  StopAccepting();
+  connections_.clear();
+}
+
+void HttpServer::StopAccepting() {
   if (acceptor_ != nullptr) {
     loop_.Unwatch(socket_.impl()->sockfd());
+    acceptor_.reset();
+    socket_.close();
   }
-  connections_.clear();
+}
+
+bool HttpServer::CloseIfIdle() {
+  if (busy() > 0) {
+    return false;
+  }
+  StopAccepting();
+  std::vector<std::shared_ptr<HttpConnection>> all;
+  for (const auto& [pointer, connection] : connections_) {
+    all.push_back(connection);
+  }
+  for (const auto& connection : all) {
+    connection->Close();
+  }
+  return true;
 }
 
 uint16_t HttpServer::port() const { return socket_.address().port(); }
@@ -432,7 +453,7 @@
       all.push_back(connection);
     }
     for (const auto& connection : all) {
-      connection->Drain(true);
+      connection->Drain();
     }
   });
 }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -108,7 +108,13 @@
   // arrive.
   void Drain(TimePoint close_idle_at);
 
-  // Number of requests being read or answered.
+  // Closes all connections and accepts no more, unless a request is being read
+  // or answered; then returns false. No request is handed to the handler after
+  // it has returned true.
+  bool CloseIfIdle();
+
+  // Number of requests being read or answered. An answer whose bytes have not
+  // all been handed to the kernel counts.
   size_t busy() const;
   size_t connections() const { return connections_.size(); }
   uint16_t port() const;
@@ -119,6 +125,7 @@
   HttpServer(EventLoop& loop, HttpServerLimits limits, HttpHandler handler,
              Metrics& metrics);
   void Accept();
+  void StopAccepting();
   void Remove(HttpConnection* connection);
 
   EventLoop& loop_;
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -74,7 +74,7 @@
   }
   Run& accepted = *run;
   runs_[key] = std::move(run);
-  if (front_.view.draining) {
+  if (front_.view.draining()) {
     End(accepted, proto::ItemOutcome::kReturned);
     return;
   }
@@ -371,7 +371,7 @@
   if (front_.view.catalog != nullptr) {
     report.set_catalog_version(front_.view.catalog->version());
   }
-  if (front_.view.draining || !front_.view.has_authority()) {
+  if (front_.view.draining() || !front_.view.has_authority()) {
     return;
   }
   const size_t free_slots = front_.pool.FreeItemSlots(front_.loop.now());
--- a/src/jobs/job_handler.cc
+++ b/src/jobs/job_handler.cc
@@ -37,6 +37,7 @@
   proto::JobCall call;
   call.set_account(account.name);
   *call.mutable_submit() = std::move(*record);
+  // The gateway has checked that a draining front takes the request.
   const TimePoint deadline =
       front_.loop.now() + std::min<Duration>(route.timeout, kChangeTimeout);
   const std::string id = call.submit().id();
@@ -79,8 +80,14 @@
     call.set_end_job(job);
   }
   const bool mutating = call.kind_case() == proto::JobCall::kEndJob;
-  forward_call_(std::move(call),
-                front_.loop.now() + (mutating ? kChangeTimeout : kReadTimeout),
+  const TimePoint deadline =
+      front_.loop.now() + (mutating ? kChangeTimeout : kReadTimeout);
+  if (!front_.view.TakesRequest(front_.loop.now(), deadline)) {
+    LogRefusal(job, account->name, "batch", DrainRefusal(), Duration(0));
+    Refuse(front_, *exchange, DrainRefusal());
+    return;
+  }
+  forward_call_(std::move(call), deadline,
                 [this, exchange, job, mutating,
                  name = account->name](const proto::JobAnswer& answer) {
                   Answer(*exchange, job, name, answer, 200, mutating);
--- a/test/correctness/fleet_path_test.cc
+++ b/test/correctness/fleet_path_test.cc
@@ -12,7 +12,9 @@
 
 using fakes::Answer;
 using fakes::Call;
+using fakes::Parse;
 using fakes::PlatformEngine;
+using fakes::RawClient;
 
 using FleetEndToEnd = fakes::FleetFixture;
 
@@ -156,6 +158,59 @@
   WaitUntil([&] { return PutConfig(9, "k1", 1).status == 200; });
 }
 
+// Guards against a front that ends while it holds requests. Callers with open
+// connections send their next request as soon as a stream has ended, seconds
+// after the front was told to stop: each gets a whole answer or a refusal, or
+// finds its connection closed without an engine having got the request.
+TEST_F(FleetEndToEnd, ADrainingFrontCutsNoRequest) {
+  constexpr int kCallers = 6;
+  for (const auto& engine : engines_) {
+    engine->SetEventInterval(milliseconds(270));
+  }
+  const auto request = [](const std::string& id) {
+    return "POST /a/x HTTP/1.1\r\nHost: h.example\r\nKey: k1\r\nRequest-Id: " +
+           id + "\r\nDeadline-Ms: 19000\r\nContent-Length: 0\r\n\r\n";
+  };
+  std::vector<std::string> second(kCallers);
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&, i] {
+      RawClient client(FrontAt(6));
+      std::this_thread::sleep_for(milliseconds(60) * i);
+      client.Send(request("first" + std::to_string(i)));
+      const std::string answer = client.ReadUntil("\r\n0\r\n\r\n");
+      EXPECT_EQ(Parse(answer).body, WholeStream()) << answer;
+      try {
+        client.Send(request("second" + std::to_string(i)));
+      } catch (const Poco::Exception&) {
+        return;
+      }
+      second[static_cast<size_t>(i)] = client.ReadAll();
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(500));
+  hosts_[6]->Drain();
+  hosts_.erase(6);
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  std::set<std::string> passed_on;
+  for (const auto& engine : engines_) {
+    for (const RequestHead& head : engine->AcceptedRequests()) {
+      passed_on.insert(*head.headers.Find("Request-Id"));
+    }
+  }
+  for (int i = 0; i < kCallers; ++i) {
+    const Answer answer = Parse(second[static_cast<size_t>(i)]);
+    const std::string id = "second" + std::to_string(i);
+    if (passed_on.count(id) > 0) {
+      EXPECT_EQ(answer.body, WholeStream()) << id;
+    } else if (!second[static_cast<size_t>(i)].empty()) {
+      EXPECT_EQ(answer.status, 503) << second[static_cast<size_t>(i)];
+    }
+  }
+}
+
 TEST_F(FleetEndToEnd, DrainingFrontFinishesRequestsAndIsNotReady) {
   std::thread drain([&] { hosts_[6]->Drain(); });
   WaitUntil([&] { return Call({Ip(6), ReadyPort()}, "GET /r").status == 503; });
--- a/test/correctness/gateway_test.cc
+++ b/test/correctness/gateway_test.cc
@@ -172,6 +172,28 @@
   EXPECT_EQ(good.requests, 0);
 }
 
+// Guards against requests that a stopping front takes late and then cuts.
+TEST_F(GatewayTest, ADrainingFrontTakesOnlyWhatItCanAnswer) {
+  ScriptedServer good(kOkAndCloseResponse);
+  Open(RouteKind::kOnce, {&good});
+  const auto drain = [this](milliseconds balancer_reacts, milliseconds exits) {
+    thread_.Run([this, balancer_reacts, exits] {
+      const TimePoint now = thread_.loop().now();
+      front_->view.drain = DrainSchedule{now + balancer_reacts, now + exits};
+    });
+  };
+  // The request may take 9 s.
+  drain(seconds(5), seconds(6));
+  EXPECT_EQ(StatusOf(SendRequest()), 200);
+  drain(seconds(0), seconds(60));
+  EXPECT_EQ(StatusOf(SendRequest()), 200);
+  drain(seconds(0), seconds(6));
+  const std::string refusal = SendRequest();
+  EXPECT_EQ(StatusOf(refusal), 503);
+  EXPECT_NE(refusal.find("\"run\":\"not_run\""), std::string::npos);
+  EXPECT_EQ(good.requests, 2);
+}
+
 TEST_F(GatewayTest, AnIdempotentRequestIsRetriedAtAnotherServer) {
   ScriptedServer failing("");
   ScriptedServer good(kOkResponse);
--- a/test/correctness/http_server_test.cc
+++ b/test/correctness/http_server_test.cc
@@ -142,6 +142,54 @@
   EXPECT_EQ(client.ReadAll().find("0\r\n\r\n"), std::string::npos);
 }
 
+// Guards against a server that is closed between the check for requests and the
+// arrival of another one.
+TEST_F(HttpServerTest, ClosesOnlyWithoutARequestAndThenTakesNone) {
+  RawClient busy(port_);
+  RawClient kept(port_);
+  kept.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  kept.ReadUntil("body ");
+  busy.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (Targets().size() < 2) {
+  }
+  thread_.Run([&] {
+    EXPECT_FALSE(server_->CloseIfIdle());
+    held_->Respond(200, {}, "done");
+  });
+  EXPECT_NE(busy.ReadUntil("done").find("200"), std::string::npos);
+  thread_.Run([&] { EXPECT_TRUE(server_->CloseIfIdle()); });
+  try {
+    kept.Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  } catch (const Poco::Exception&) {
+  }
+  EXPECT_EQ(kept.ReadAll(), "");
+  EXPECT_EQ(Targets().size(), 2U);
+}
+
+// An answer that a slow caller has not taken yet is not cut.
+TEST_F(HttpServerTest, AnUnsentAnswerIsInProgress) {
+  RawClient slow(port_);
+  slow.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (Targets().empty()) {
+  }
+  const std::string body(32U << 20U, 'x');
+  thread_.Run([&] {
+    held_->Respond(200, {}, body);
+    EXPECT_FALSE(server_->CloseIfIdle());
+  });
+  slow.ReadUntil("\r\n\r\n");
+  size_t received = 0;
+  while (received < body.size()) {
+    const std::string part = slow.ReadSome();
+    ASSERT_FALSE(part.empty());
+    received += part.size();
+  }
+  bool closed = false;
+  while (!closed) {
+    thread_.Run([&] { closed = server_->CloseIfIdle(); });
+  }
+}
+
 TEST_F(HttpServerTest, SendsConnectionCloseWhileDraining) {
   RawClient kept(port_);
   kept.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/test/fakes/platform_engine.h
+++ b/test/fakes/platform_engine.h
@@ -55,6 +55,10 @@
            R"(,"born":1000})";
   }
 
+  void SetEventInterval(milliseconds interval) {
+    thread_.Run([&] { event_interval_ = interval; });
+  }
+
   void SetStreamFault(StreamFault fault, int after_events) {
     thread_.Run([&] {
       fault_ = fault;
@@ -168,7 +172,7 @@
                            std::to_string(stream->next) + "\n\n");
     ++stream->next;
     ++stream->sent;
-    thread_.loop().RunAt(thread_.loop().now() + milliseconds(5),
+    thread_.loop().RunAt(thread_.loop().now() + event_interval_,
                          [this, stream] { SendNextEvent(stream); });
   }
 
@@ -178,6 +182,7 @@
   std::unique_ptr<HttpServer> server_;
   std::vector<std::shared_ptr<Stream>> streams_;
   std::vector<RequestHead> accepted_requests_;
+  milliseconds event_interval_{5};
   StreamFault fault_ = StreamFault::kNone;
   int after_events_ = 0;
   std::string crashing_part_;
--- a/test/fakes/raw_sockets.h
+++ b/test/fakes/raw_sockets.h
@@ -77,6 +77,14 @@
     return std::exchange(received_, "");
   }
 
+  // Returns the bytes that have arrived, and waits for some if there are none.
+  std::string ReadSome() {
+    if (received_.empty()) {
+      ReadMore();
+    }
+    return std::exchange(received_, "");
+  }
+
   void Close() { socket_.close(); }
 
  private:
