Offer the leadership only to a voter that answers, and end a failed transfer

Cause: the leader offered its leadership to the voter with the longest log, which was the lost one, and from then on used neither its lease nor its log. Only a new term ended that state, and its own heartbeats kept the others from beginning one.

Ruled out: a lost quorum, a membership planner without candidates (not asked).

Change: the offer goes to a voter that answers heartbeats, and on a retirement to one that does not retire itself. A transfer that has not ended after an election timeout ends the leadership; resuming would let the lease overlap with a voter that acts on the offer later, while in a new term the offer is void. A retiring leader without such a voter replaces the lost ones first.

Evidence: RaftTest.LeadershipIsNotTransferredToALostVoter and RaftTest.AFailedTransferEndsTheLeadership failed on the untouched code and pass.

--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -75,7 +75,7 @@
   }
   role_ = RaftRole::kFollower;
   leader_ = leader;
-  transferring_ = false;
+  transfer_deadline_.reset();
   progress_.clear();
   rounds_.clear();
   ResetElectionDeadline(now);
@@ -83,7 +83,13 @@
 
 void Raft::Tick(TimePoint now) {
   if (role_ == RaftRole::kLeader) {
-    if (now >= quorum_confirmed_at_ + options_.max_election_timeout) {
+    // The other voter may still act on the offer, so the lease must not be used
+    // again in this term. Without a leader the voters begin a new one, in which
+    // the offer is void.
+    const bool transfer_failed =
+        transfer_deadline_ && now >= *transfer_deadline_;
+    if (transfer_failed ||
+        now >= quorum_confirmed_at_ + options_.max_election_timeout) {
       BecomeFollower(hard_state_.term, "", now);
       return;
     }
@@ -141,7 +147,7 @@
 void Raft::BecomeLeader(TimePoint now) {
   role_ = RaftRole::kLeader;
   leader_ = node_;
-  transferring_ = false;
+  transfer_deadline_.reset();
   progress_.clear();
   rounds_.clear();
   quorum_confirmed_at_ = now;
@@ -180,7 +186,7 @@
 }
 
 Result<uint64_t> Raft::Propose(std::string command, TimePoint now) {
-  if (role_ != RaftRole::kLeader || transferring_) {
+  if (role_ != RaftRole::kLeader || transfer_deadline_) {
     return Fail(ErrorCode::kNoQuorum, "this node does not lead the group");
   }
   (void)now;
@@ -195,7 +201,7 @@
 
 Result<uint64_t> Raft::ProposeMembership(proto::Membership membership,
                                          TimePoint now) {
-  if (role_ != RaftRole::kLeader || transferring_) {
+  if (role_ != RaftRole::kLeader || transfer_deadline_) {
     return Fail(ErrorCode::kNoQuorum, "this node does not lead the group");
   }
   if (!membership_committed() || commit_ < term_start_index_) {
@@ -467,7 +473,7 @@
 }
 
 bool Raft::LeaseValid(TimePoint now) const {
-  return role_ == RaftRole::kLeader && !transferring_ &&
+  return role_ == RaftRole::kLeader && !transfer_deadline_ &&
          commit_ >= term_start_index_ &&
          now < quorum_confirmed_at_ + options_.min_election_timeout -
                    options_.clock_margin;
@@ -613,15 +619,17 @@
   return true;
 }
 
-bool Raft::TransferLeadership(TimePoint now) {
+bool Raft::TransferLeadership(TimePoint now,
+                              const std::set<std::string>& avoid) {
   if (role_ != RaftRole::kLeader) {
     return false;
   }
   const std::string* best = nullptr;
   for (const std::string& voter : log_.membership().voters()) {
-    const bool better =
-        best == nullptr || MatchIndex(voter) > MatchIndex(*best);
-    if (voter != node_ && better) {
+    const bool eligible =
+        voter != node_ && avoid.count(voter) == 0 && IsActive(voter);
+    if (eligible &&
+        (best == nullptr || MatchIndex(voter) > MatchIndex(*best))) {
       best = &voter;
     }
   }
@@ -631,7 +639,9 @@
   BroadcastAppend(now, false);
   // This gives up the lease, because the other voter may become leader at any
   // time.
-  transferring_ = true;
+  if (!transfer_deadline_) {
+    transfer_deadline_ = now + options_.min_election_timeout;
+  }
   proto::RaftMessage message;
   message.mutable_timeout_now()->set_term(hard_state_.term);
   Send(*best, std::move(message));
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -27,6 +27,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -78,10 +79,13 @@
   // index.
   bool InstallSnapshot(SnapshotMark snapshot, TimePoint now);
 
-  // Transfers leadership to the voter with the highest match index, for a
-  // graceful stop. Returns false when this node is not the leader or no other
-  // voter exists.
-  bool TransferLeadership(TimePoint now);
+  // Transfers leadership to the active voter with the highest match index that
+  // is not in `avoid`, for a graceful stop. Returns false when this node is not
+  // the leader or has no such voter; it then goes on leading. A transfer that
+  // has not ended after an election timeout ends the leadership, so that the
+  // voters elect a leader by themselves.
+  bool TransferLeadership(TimePoint now,
+                          const std::set<std::string>& avoid = {});
 
   // Returns the work that the events so far have produced, and clears it.
   RaftReady TakeReady();
@@ -190,7 +194,9 @@
   TimePoint reject_votes_until_;
 
   std::set<std::string> votes_;
-  bool transferring_ = false;
+  // When a transfer of the leadership counts as failed. Set on a leader that
+  // has offered its leadership to another voter.
+  std::optional<TimePoint> transfer_deadline_;
 
   std::map<std::string, Progress> progress_;
   // Number of the newest heartbeat round.
--- a/src/group/consensus_group.cc
+++ b/src/group/consensus_group.cc
@@ -368,6 +368,18 @@
   return status;
 }
 
+bool ConsensusGroup::StepDown(TimePoint now,
+                              const std::set<std::string>& avoid) {
+  const bool offered = raft_->TransferLeadership(now, avoid);
+  if (leads()) {
+    LogInfo("leadership_transfer",
+            {{"group", options_.name},
+             {"term", std::to_string(raft_->term())},
+             {"outcome", offered ? "offered" : "no active voter"}});
+  }
+  return offered;
+}
+
 void ConsensusGroup::SendAll(const std::vector<OutgoingRaftMessage>& messages) {
   for (const OutgoingRaftMessage& outgoing : messages) {
     send_(HostOfNode(outgoing.to), outgoing.message);
@@ -395,9 +407,18 @@
       input.caught_up.insert(learner);
     }
   }
-  if (retiring.count(options_.host) > 0 && input.membership.voters_size() > 1) {
-    StepDown(now);
-    return;
+  if (retiring.count(options_.host) > 0) {
+    std::set<std::string> retiring_voters;
+    for (const std::string& voter : input.membership.voters()) {
+      if (retiring.count(HostOfNode(voter)) > 0) {
+        retiring_voters.insert(voter);
+      }
+    }
+    // Without a voter to hand over to, this leader first replaces the others
+    // that are lost or retire.
+    if (StepDown(now, retiring_voters)) {
+      return;
+    }
   }
   const auto next = PlanMembership(input);
   if (!next) {
--- a/src/group/consensus_group.h
+++ b/src/group/consensus_group.h
@@ -85,7 +85,7 @@
   void Propose(const std::string& command, TimePoint now, DoneCallback done);
 
   // On the leader, proposes the next membership change, if one is needed, or
-  // steps down when its own host is in `retiring` and there are other voters.
+  // steps down when its own host is in `retiring` and another voter can lead.
   void MaintainMembership(
       const std::map<std::string, GroupCandidate>& candidates,
       const std::set<std::string>& retiring, TimePoint now);
@@ -94,7 +94,9 @@
   // True while this node holds a valid leader lease and has applied everything
   // that is committed, so that no newer state can exist on another node.
   bool IsConfirmedLeader(TimePoint now) const;
-  bool StepDown(TimePoint now) { return raft_->TransferLeadership(now); }
+  // On the leader, offers the leadership to an active voter that is not in
+  // `avoid`. Returns false when there is none.
+  bool StepDown(TimePoint now, const std::set<std::string>& avoid = {});
   std::string leader_host() const;
   const std::string& node() const { return node_; }
   bool fresh_disk() const { return fresh_disk_; }
--- a/test/correctness/raft_test.cc
+++ b/test/correctness/raft_test.cc
@@ -170,6 +170,59 @@
   EXPECT_EQ(raft.role(), RaftRole::kFollower);
 }
 
+// Guards against a leader that offers its leadership to a lost voter, and then
+// neither commits anything nor makes room for another leader.
+TEST_F(RaftTest, LeadershipIsNotTransferredToALostVoter) {
+  Raft raft("a", RaftOptions{}, PersistentState({}, 1), now_, 1);
+  Elect(raft);
+  raft.Persisted(1, raft.term(), now_);
+  for (uint64_t round = 1; round < 10; ++round) {
+    // Both have the whole log, and only c still answers.
+    raft.Receive(AppendReply("c", raft.term(), 1, round), now_);
+    if (round == 1) {
+      raft.Receive(AppendReply("b", raft.term(), 1, round), now_);
+    }
+    now_ += milliseconds(100);
+    raft.Tick(now_);
+  }
+  raft.TakeReady();
+  EXPECT_FALSE(raft.TransferLeadership(now_, {"c"}));
+  EXPECT_TRUE(raft.LeaseValid(now_));
+  ASSERT_TRUE(raft.TransferLeadership(now_));
+  std::vector<std::string> offered;
+  for (const OutgoingRaftMessage& outgoing : raft.TakeReady().messages) {
+    if (outgoing.message.has_timeout_now()) {
+      offered.push_back(outgoing.to);
+    }
+  }
+  EXPECT_EQ(offered, std::vector<std::string>{"c"});
+}
+
+// The voter that was offered the leadership is lost before it acts. However
+// often the offer is repeated, the leader makes room for an election in a new
+// term, and does not use its lease again before.
+TEST_F(RaftTest, AFailedTransferEndsTheLeadership) {
+  Raft raft("a", RaftOptions{}, PersistentState({}, 1), now_, 1);
+  Elect(raft);
+  raft.Persisted(1, raft.term(), now_);
+  const uint64_t term = raft.term();
+  const TimePoint begin = now_;
+  uint64_t round = 1;
+  while (raft.role() == RaftRole::kLeader && now_ < begin + seconds(5)) {
+    raft.Receive(AppendReply("b", term, 1, round), now_);
+    raft.Receive(AppendReply("c", term, 1, round), now_);
+    EXPECT_TRUE(raft.TransferLeadership(now_));
+    EXPECT_FALSE(raft.LeaseValid(now_));
+    now_ += milliseconds(100);
+    raft.Tick(now_);
+    ++round;
+  }
+  EXPECT_EQ(raft.role(), RaftRole::kFollower);
+  EXPECT_LE(now_ - begin, RaftOptions{}.max_election_timeout);
+  Elect(raft);
+  EXPECT_EQ(raft.term(), term + 1);
+}
+
 TEST_F(RaftTest, DelayedAppendRequestRemovesNoEntries) {
   Raft raft("a", RaftOptions{}, PersistentState({{1, 1}, {2, 1}, {3, 1}}, 1),
             now_, 1);
