A deregistration counts whatever the sequence of its record

Cause: control hosts forward only announcements that change something, so the one that got the deregistration marked a record with an early sequence. Fronts and other control hosts took it for an old record of the same start.

Ruled out: a lost message; a control host that knows nothing of the server.

Change: a deregistration ends all that the server has announced since its start. Only a record of a later start replaces it.

Evidence: BackendDirectory.ADeregistrationWithAnOlderSequenceCounts failed on the untouched code and passes.

--- a/src/fleet/backend_registry.cc
+++ b/src/fleet/backend_registry.cc
@@ -24,15 +24,17 @@
          (a.cold_left_ms() > 0) == (b.cold_left_ms() > 0);
 }
 
-// Whether `next` replaces `current`, a record of the same server. Only a record
-// of a later start replaces a deregistration.
+// Whether `next` replaces `current`, a record of the same server. A
+// deregistration ends all that the server has announced since its start,
+// whatever its sequence: the control host that received it may not have the
+// server's last announcements. Only a record of a later start replaces it.
 bool Supersedes(const proto::BackendRecord& next,
                 const proto::BackendRecord& current) {
-  if (next.started_unix_ms() == current.started_unix_ms() && current.gone()) {
-    return false;
+  const bool same_start = next.started_unix_ms() == current.started_unix_ms();
+  if (same_start && (next.gone() || current.gone())) {
+    return !current.gone();
   }
-  return Order(next) > Order(current) ||
-         (Order(next) == Order(current) && next.gone() && !current.gone());
+  return Order(next) > Order(current);
 }
 
 }  // namespace
--- a/test/correctness/fleet_test.cc
+++ b/test/correctness/fleet_test.cc
@@ -80,6 +80,30 @@
   return ids;
 }
 
+// Guards against a deregistration that is acknowledged and ignored: only
+// changes are forwarded, so the control host that gets it may know an early
+// announcement alone.
+TEST(BackendDirectory, ADeregistrationWithAnOlderSequenceCounts) {
+  BackendRegistry behind(1);
+  BackendRegistry other(2);
+  behind.Announce(Record("a", 100, 1), kNow);
+  other.Announce(Record("a", 100, 9), kNow);
+  BackendDirectory directory;
+  directory.Merge(Record("a", 100, 9), kNow);
+  const proto::BackendRecord gone = behind.Deregister("a", 150, kNow);
+  EXPECT_TRUE(directory.Merge(gone, kNow));
+  EXPECT_TRUE(other.Announce(gone, kNow));
+  EXPECT_TRUE(UsableIds(directory, kNow).empty());
+  // Nothing that the server announced before brings it back.
+  EXPECT_FALSE(directory.Merge(Record("a", 100, 10), kNow));
+  EXPECT_FALSE(other.Announce(Record("a", 100, 10), kNow));
+  EXPECT_TRUE(UsableIds(directory, kNow).empty());
+  EXPECT_TRUE(directory.Merge(Record("a", 200, 1), kNow));
+  // A deregistration of the earlier start does not end the later one.
+  EXPECT_FALSE(directory.Merge(gone, kNow));
+  EXPECT_EQ(UsableIds(directory, kNow), std::vector<std::string>{"a"});
+}
+
 TEST(BackendDirectory, AnAddressBelongsToTheServerThatStartedLast) {
   BackendDirectory directory;
   directory.Merge(Record("new", 200, 1), kNow);
