Count the owner's grants against a front's share of the rate

Cause: a new owner's bucket begins empty and reports that it recovers until it has been full, which it never is under a demand above the rate. The fronts then take tokens of their shares, whose sum is the whole rate once more. The shares also began full right after the burst had been spent by the owner's grants.

Ruled out: two owners at a time; grants of the old leader.

Change: a granted token counts against the front's share. Recovery ends after the time in which an unused bucket fills, and the owner's refusals are final then.

Evidence: RateLimiterTest.GrantsOfTheOwnerCountAgainstTheShare and OwnerBucket.RecoversUnderADemandAboveTheRate failed on the untouched code and pass.

--- a/src/gateway/rate_limiter.cc
+++ b/src/gateway/rate_limiter.cc
@@ -13,6 +13,8 @@
 // The owner answers within a few milliseconds. After this time it is considered
 // unreachable.
 constexpr milliseconds kOwnerTimeout{120};
+// Tokens that a full share holds at least, so that small accounts are admitted.
+constexpr double kMinShareBurst = 1;
 
 }  // namespace
 
@@ -49,6 +51,8 @@
       lease_holder_.Poll(waiting.account, waiting.ticket, now);
   if (outcome.answer == TokenLeaseHolder::Answer::kTaken) {
     taken_.Add();
+    fallback_buckets_.CountGranted(waiting.account, waiting.rate_limit, fronts_,
+                                   kMinShareBurst, true, now);
     waiting.done({true, 0});
     return true;
   }
@@ -63,7 +67,7 @@
   unanswered_.Add();
   lease_holder_.Abandon(waiting.account, waiting.ticket);
   const int64_t wait_ms = fallback_buckets_.Take(
-      waiting.account, waiting.rate_limit, fronts_, 1, true, now);
+      waiting.account, waiting.rate_limit, fronts_, kMinShareBurst, true, now);
   (wait_ms == 0 ? taken_ : refused_).Add();
   waiting.done({wait_ms == 0, wait_ms});
   return true;
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/rate_limiter.h
@@ -7,8 +7,11 @@
 // tokens requests some before it refuses a caller (see rates/). While the owner
 // does not answer, for example in the second without a leader, each front
 // spends only its share of the rate and burst, so that all fronts together stay
-// close to the limit. A share holds at least one token, so that small accounts
-// are admitted at all.
+// close to the limit. What the owner has granted a front counts against its
+// share: under a demand above the rate the owner grants the whole rate, and the
+// shares must not double it when the owner fails, or while a new owner does not
+// know yet what the account is owed. A share holds at least one token, so that
+// small accounts are admitted at all.
 //
 // Runs on the traffic thread.
 #pragma once
--- a/src/rates/local_bucket.h
+++ b/src/rates/local_bucket.h
@@ -23,14 +23,8 @@
   int64_t Take(const std::string& account, RateLimit rate_limit, size_t hosts,
                double min_burst, bool starts_full, TimePoint now) {
     const double rate = rate_limit.rate / static_cast<double>(hosts);
-    const double burst =
-        std::max(min_burst, rate_limit.burst / static_cast<double>(hosts));
-    auto [entry, added] =
-        buckets_.try_emplace(account, Bucket{starts_full ? burst : 0, now});
-    Bucket& bucket = entry->second;
-    bucket.tokens = std::min(
-        burst, bucket.tokens + rate * ToSeconds(now - bucket.refilled_at));
-    bucket.refilled_at = now;
+    Bucket& bucket =
+        Refilled(account, rate_limit, hosts, min_burst, starts_full, now);
     if (bucket.tokens >= 1) {
       bucket.tokens -= 1;
       return 0;
@@ -38,12 +32,38 @@
     return RemainingMs(now + FromSeconds((1 - bucket.tokens) / rate), now) + 1;
   }
 
+  // Counts a token that the owner has granted against this host's share, so
+  // that the share does not add to what has been admitted already. Without a
+  // token left, the share stays empty. Parameters as for Take.
+  void CountGranted(const std::string& account, RateLimit rate_limit,
+                    size_t hosts, double min_burst, bool starts_full,
+                    TimePoint now) {
+    Bucket& bucket =
+        Refilled(account, rate_limit, hosts, min_burst, starts_full, now);
+    bucket.tokens = std::max(0.0, bucket.tokens - 1);
+  }
+
  private:
   struct Bucket {
     double tokens;
     TimePoint refilled_at;
   };
 
+  Bucket& Refilled(const std::string& account, RateLimit rate_limit,
+                   size_t hosts, double min_burst, bool starts_full,
+                   TimePoint now) {
+    const double rate = rate_limit.rate / static_cast<double>(hosts);
+    const double burst =
+        std::max(min_burst, rate_limit.burst / static_cast<double>(hosts));
+    auto [entry, added] =
+        buckets_.try_emplace(account, Bucket{starts_full ? burst : 0, now});
+    Bucket& bucket = entry->second;
+    bucket.tokens = std::min(
+        burst, bucket.tokens + rate * ToSeconds(now - bucket.refilled_at));
+    bucket.refilled_at = now;
+    return bucket;
+  }
+
   std::map<std::string, Bucket> buckets_;
 };
 
--- a/src/rates/owner_bucket.cc
+++ b/src/rates/owner_bucket.cc
@@ -14,7 +14,10 @@
 }  // namespace
 
 OwnerBucket::OwnerBucket(RateLimit rate_limit, TimePoint prior_leases_until)
-    : rate_limit_(rate_limit), refilled_at_(prior_leases_until) {}
+    : rate_limit_(rate_limit),
+      recovered_at_(prior_leases_until +
+                    FromSeconds(rate_limit.burst / rate_limit.rate)),
+      refilled_at_(prior_leases_until) {}
 
 double OwnerBucket::leased() const {
   double sum = 0;
--- a/src/rates/owner_bucket.h
+++ b/src/rates/owner_bucket.h
@@ -57,8 +57,12 @@
   // Returns the hosts other than `host` that hold leased tokens.
   std::vector<std::string> OtherHolders(const std::string& host) const;
 
-  // True once available and leased tokens together have reached the burst.
-  bool has_filled() const { return has_filled_; }
+  // True while the bucket may hold less than the account is owed, because it
+  // began empty: until available and leased tokens together have reached the
+  // burst, and no longer than an unused bucket takes to fill.
+  bool IsRecovering(TimePoint now) const {
+    return !has_filled_ && now < recovered_at_;
+  }
 
   double tokens() const { return tokens_; }
   double leased() const;
@@ -74,6 +78,7 @@
   RateLimit rate_limit_;
   double tokens_ = 0;
   bool has_filled_ = false;
+  TimePoint recovered_at_;
   TimePoint refilled_at_;
   std::map<std::string, TokenLease> leases_;
 };
--- a/src/rates/rate_owner.cc
+++ b/src/rates/rate_owner.cc
@@ -157,7 +157,7 @@
   const int64_t wait_ms = RemainingMs(owned.bucket.NextTokenAt(now), now) + 1;
   proto::TokenReply& reply = AddReply(from, request);
   reply.set_retry_after_ms(wait_ms);
-  reply.set_recovering(!owned.bucket.has_filled());
+  reply.set_recovering(owned.bucket.IsRecovering(now));
 }
 
 void RateOwner::Recall(const OwnedAccount& owned, const std::string& from,
--- a/test/correctness/rate_limiter_test.cc
+++ b/test/correctness/rate_limiter_test.cc
@@ -99,6 +99,39 @@
   EXPECT_EQ(taken, 2);
 }
 
+// Guards against twice the rate after the owner is lost: a front that has just
+// spent its part of the burst by the owner's grants has no share left.
+TEST_F(RateLimiterTest, GrantsOfTheOwnerCountAgainstTheShare) {
+  thread_.Run([this] { limiter_->SetFronts(4); });
+  Take();
+  Reply(2);
+  Take();
+  ASSERT_EQ(Answers(), 2U);
+  for (int i = 0; i < 4; ++i) {
+    Take();
+  }
+  AwaitAnswers(6);
+  EXPECT_EQ(std::count_if(
+                answers_.begin(), answers_.end(),
+                [](const RateLimiter::Answer& answer) { return answer.taken; }),
+            2);
+}
+
+// A new owner's bucket begins empty. Under a demand above the rate it never
+// fills, and must not leave the refusals to the fronts without an end.
+TEST(OwnerBucket, RecoversUnderADemandAboveTheRate) {
+  const TimePoint begin = TimePoint(seconds(100));
+  OwnerBucket bucket({20, 20}, begin);
+  TimePoint now = begin;
+  double leased = 0;
+  for (; now < begin + seconds(5); now += milliseconds(8)) {
+    leased += bucket.LeaseTokens("f", 1, now, now + seconds(1));
+    bucket.ApplyReport("f", 1, 0, now);
+    EXPECT_EQ(bucket.IsRecovering(now), now < begin + seconds(1));
+  }
+  EXPECT_NEAR(leased, 100, 2);
+}
+
 TEST(StallPolicy, LeavesTimeForAnotherServer) {
   Route route;
   route.latency_target = milliseconds(300);
