Read servers' answers in sequoialbd with the strict parser

Report of another operator: an engine stopped inside its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

The client of sequoialbd used POCO's HTTP client, which takes a head that ends inside a field's value, and a chunked body that is cut, for whole ones.

Ruled out: the other clients (src/http fails a head that is cut at any byte).

Change: the client reads with the parser of src/http on its own connection. An answer that ends before its framing says so is broken. A head that comes a byte at a time ends at the deadline now.

Evidence: BackendClientTest.AnAnswerThatEndsEarlyIsBroken failed on the untouched code (17 cuts taken for whole answers) and passes; ASlowHeadIsBrokenAtTheDeadline is new. HttpClientTest.AnAnswerThatEndsInsideItsHeadIsBroken passed before.

--- a/src/requests/backend_client.cc
+++ b/src/requests/backend_client.cc
@@ -1,17 +1,14 @@
 #include "requests/backend_client.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
-#include <istream>
 
+#include "http/message.h"
 #include "observe/log.h"
 
 namespace sequoialb {
@@ -22,10 +19,13 @@
 constexpr milliseconds kMinTimeout{10};
 constexpr size_t kMaxIdlePerServer = 64;
 constexpr size_t kReadBytes = 16U << 10U;
+// The head of an answer, with the interim answers before it.
+constexpr size_t kMaxHeadBytes = 64U << 10U;
 constexpr size_t kMaxBodyBytes = 16U << 20U;
 // Bytes that are read after the end of a stream so that its connection can be
 // reused; a server that sends more loses the connection.
 constexpr size_t kMaxTrailingBytes = 65'536;
+constexpr int kFirstFinalStatus = 200;
 constexpr int kFirstServerError = 500;
 constexpr int kFirstClientError = 400;
 
@@ -33,14 +33,135 @@
   return {std::chrono::duration_cast<std::chrono::microseconds>(d).count()};
 }
 
-// A session that can connect before its first request, so that the intent to
-// send a call that may not be repeated is recorded after the connection is open
-// and before the first byte is sent.
-class EagerSession : public Poco::Net::HTTPClientSession {
+Poco::Timespan TimeLeft(TimePoint deadline) {
+  return ToTimespan(std::max<Duration>(kMinTimeout, deadline - Clock::now()));
+}
+
+Poco::Net::StreamSocket Connect(const std::string& address) {
+  Poco::Net::StreamSocket socket;
+  socket.connect(Poco::Net::SocketAddress(address),
+                 ToTimespan(kConnectTimeout));
+  socket.setNoDelay(true);
+  return socket;
+}
+
+std::string RequestBytes(const AttemptRequest& request,
+                         const std::string& address) {
+  return request.method + " " + request.path + " HTTP/1.1\r\nHost: " + address +
+         "\r\nContent-Type: " + request.content_type +
+         "\r\ntraceparent: " + request.trace.ToHeader() +
+         "\r\nContent-Length: " + std::to_string(request.body.size()) +
+         "\r\n\r\n" + request.body;
+}
+
+void SendAll(Poco::Net::StreamSocket& socket, const std::string& bytes) {
+  size_t sent = 0;
+  while (sent < bytes.size()) {
+    const int count = socket.sendBytes(bytes.data() + sent,
+                                       static_cast<int>(bytes.size() - sent));
+    if (count <= 0) {
+      throw Poco::Net::ConnectionAbortedException(
+          "the request could not be sent");
+    }
+    sent += static_cast<size_t>(count);
+  }
+}
+
+// Reads one answer from a blocking connection.
+class AnswerReader {
  public:
-  explicit EagerSession(const Poco::Net::SocketAddress& target)
-      : HTTPClientSession(target) {}
-  void ConnectNow(const Poco::Net::SocketAddress& target) { connect(target); }
+  AnswerReader(Poco::Net::StreamSocket& socket, TimePoint deadline)
+      : socket_(socket), deadline_(deadline) {}
+
+  // Reads the head, after any interim ones.
+  Result<ResponseHead> ReadHead() {
+    size_t skipped = 0;
+    while (true) {
+      const auto size = HeadSize(input_);
+      if (!size) {
+        if (skipped + input_.size() > kMaxHeadBytes) {
+          return Fail(ErrorCode::kBackendFailed, "the head does not end");
+        }
+        const Status received = Receive();
+        if (!received) {
+          return tl::unexpected<Error>(received.error());
+        }
+        if (ended_) {
+          return Fail(ErrorCode::kBackendFailed,
+                      "the connection ended before the end of the head");
+        }
+        continue;
+      }
+      auto head = ParseResponseHead(std::string_view{input_}.substr(0, *size));
+      input_.erase(0, *size);
+      skipped += *size;
+      if (!head || head->status >= kFirstFinalStatus) {
+        if (head) {
+          decoder_.emplace(head->framing, head->length);
+        }
+        return head;
+      }
+    }
+  }
+
+  // Returns the next bytes of the body, and none once it has ended.
+  Result<std::string> ReadBody() {
+    std::string data;
+    while (data.empty() &&
+           decoder_->state() == BodyDecoder::State::kIncomplete) {
+      input_.erase(0, decoder_->Feed(input_, data));
+      if (!data.empty() ||
+          decoder_->state() != BodyDecoder::State::kIncomplete) {
+        break;
+      }
+      const Status received = Receive();
+      if (!received) {
+        return tl::unexpected<Error>(received.error());
+      }
+      if (ended_) {
+        decoder_->OnConnectionClosed();
+        break;
+      }
+    }
+    if (data.empty() && !whole()) {
+      return Fail(ErrorCode::kBackendFailed,
+                  "the connection ended before the end of the body");
+    }
+    return data;
+  }
+
+  // The body has ended as its framing says.
+  bool whole() const { return decoder_->state() == BodyDecoder::State::kDone; }
+
+  // Bytes follow the answer, or its connection has ended.
+  bool spent() const { return ended_ || !input_.empty(); }
+
+ private:
+  Status Receive() {
+    const auto late = Fail(ErrorCode::kDeadlineExceeded,
+                           "the answer did not end before the deadline");
+    // Each read is limited by the deadline, but a server may send a byte at a
+    // time without end.
+    if (Clock::now() >= deadline_) {
+      return late;
+    }
+    socket_.setReceiveTimeout(TimeLeft(deadline_));
+    std::array<char, kReadBytes> buffer{};
+    try {
+      const int count = socket_.receiveBytes(buffer.data(), buffer.size());
+      ended_ = count <= 0;
+      input_.append(buffer.data(), ended_ ? 0 : static_cast<size_t>(count));
+    } catch (const Poco::TimeoutException&) {
+      return late;
+    }
+    return {};
+  }
+
+  Poco::Net::StreamSocket& socket_;
+  TimePoint deadline_;
+  std::string input_;
+  std::optional<BodyDecoder> decoder_;
+  bool ended_ = false;
 };
 
 // Ends blocking reads on a socket from another thread. The descriptor stays
@@ -49,18 +170,18 @@
   ::shutdown(socket.impl()->sockfd(), SHUT_RDWR);
 }
 
-// Reads the end of a chunked body whose content is complete, so that the
-// connection can be reused. Returns false when the end does not come.
-bool SkipToEnd(std::istream& body, TimePoint deadline) {
-  for (size_t skipped = 0; skipped < kMaxTrailingBytes; ++skipped) {
-    if (body.get() == std::istream::traits_type::eof()) {
-      return true;
-    }
-    if (Clock::now() >= deadline) {
+// Reads the end of a body whose content is complete, so that the connection can
+// be reused. Returns false when the end does not come.
+bool SkipToEnd(AnswerReader& answer) {
+  size_t skipped = 0;
+  while (!answer.whole() && skipped < kMaxTrailingBytes) {
+    const auto data = answer.ReadBody();
+    if (!data) {
       return false;
     }
+    skipped += data->size();
   }
-  return false;
+  return answer.whole();
 }
 
 }  // namespace
@@ -76,47 +197,38 @@
                    failure_domain) != blocked_domains_.end();
 }
 
-BackendClient::Session BackendClient::TakeIdle(const std::string& address) {
+std::optional<Poco::Net::StreamSocket> BackendClient::TakeIdle(
+    const std::string& address) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  auto& sessions = idle_[address];
-  while (!sessions.empty()) {
-    Session session = std::move(sessions.back());
-    sessions.pop_back();
+  auto& connections = idle_[address];
+  while (!connections.empty()) {
+    const IdleConnection idle = connections.back();
+    connections.pop_back();
     // A readable idle connection has been closed by the server.
-    if (!session->socket().poll(Poco::Timespan(0),
-                                Poco::Net::Socket::SELECT_READ)) {
-      return session;
+    if (Clock::now() < idle.expires &&
+        !idle.socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+      return idle.socket;
     }
   }
-  return nullptr;
+  return std::nullopt;
 }
 
-void BackendClient::StoreIdle(const std::string& address, Session session) {
+void BackendClient::StoreIdle(const std::string& address,
+                              const Poco::Net::StreamSocket& socket) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  auto& sessions = idle_[address];
-  if (sessions.size() < kMaxIdlePerServer) {
-    sessions.push_back(std::move(session));
+  auto& connections = idle_[address];
+  if (connections.size() < kMaxIdlePerServer) {
+    connections.push_back({socket, Clock::now() + kIdleTimeout});
   }
 }
 
-BackendClient::Session BackendClient::Connect(const std::string& address) {
-  const Poco::Net::SocketAddress target(address);
-  auto session = std::make_unique<EagerSession>(target);
-  session->setTimeout(ToTimespan(kConnectTimeout));
-  session->setKeepAlive(true);
-  session->setKeepAliveTimeout(ToTimespan(kIdleTimeout));
-  session->ConnectNow(target);
-  session->socket().setNoDelay(true);
-  return session;
-}
-
 AttemptResult BackendClient::Run(const std::shared_ptr<SlotLease>& lease,
                                  const AttemptRequest& request,
                                  const StreamHandler& on_bytes,
                                  const BeforeSend& before_send) {
   AttemptResult result;
   const std::string& address = lease->backend().address();
-  Session session = request.idempotent ? TakeIdle(address) : nullptr;
+  std::optional<Poco::Net::StreamSocket> socket;
   bool sent = false;
   bool reusable = false;
   try {
@@ -124,18 +236,20 @@
       throw Poco::Net::ConnectionRefusedException(
           "the failure domain of the backend server is blocked");
     }
-    if (session == nullptr) {
-      session = Connect(address);
+    if (request.idempotent) {
+      socket = TakeIdle(address);
     }
-    const Poco::Net::StreamSocket socket = session->socket();
-    lease->SetInterrupt([socket] { ShutDown(socket); });
+    if (!socket) {
+      socket = Connect(address);
+    }
+    lease->SetInterrupt([socket = *socket] { ShutDown(socket); });
     if (before_send && !before_send()) {
       result.outcome = AttemptOutcome::kNotSent;
       lease->SetInterrupt(nullptr);
       return result;
     }
     sent = true;
-    Exchange(*session, request, on_bytes, result, reusable);
+    reusable = Exchange(*socket, address, request, on_bytes, result);
   } catch (const Poco::Exception& e) {
     result.outcome = sent ? AttemptOutcome::kBroken : AttemptOutcome::kNotSent;
     result.detail = e.displayText();
@@ -148,77 +262,70 @@
     result.outcome = AttemptOutcome::kRevoked;
   }
   if (reusable && !lease->revoked()) {
-    StoreIdle(address, std::move(session));
+    StoreIdle(address, *socket);
   }
   return result;
 }
 
-void BackendClient::Exchange(Poco::Net::HTTPClientSession& session,
+bool BackendClient::Exchange(Poco::Net::StreamSocket& socket,
+                             const std::string& address,
                              const AttemptRequest& request,
                              const StreamHandler& on_bytes,
-                             AttemptResult& result, bool& reusable) {
+                             AttemptResult& result) {
   const TimePoint begin = Clock::now();
-  session.setTimeout(
-      ToTimespan(std::max<Duration>(kMinTimeout, request.deadline - begin)));
-  Poco::Net::HTTPRequest http(request.method, request.path, "HTTP/1.1");
-  http.setContentType(request.content_type);
-  http.setContentLength(static_cast<std::streamsize>(request.body.size()));
-  http.set("traceparent", request.trace.ToHeader());
-  session.sendRequest(http) << request.body << std::flush;
-  Poco::Net::HTTPResponse response;
-  std::istream& body = session.receiveResponse(response);
-  result.first_byte_ms = static_cast<uint32_t>(
-      std::max<int64_t>(1, RemainingMs(Clock::now(), begin)));
-  result.http_status = response.getStatus();
-  result.content_type = response.getContentType();
+  const auto note_first_byte = [&] {
+    result.first_byte_ms = static_cast<uint32_t>(
+        std::max<int64_t>(1, RemainingMs(Clock::now(), begin)));
+  };
+  socket.setSendTimeout(TimeLeft(request.deadline));
+  SendAll(socket, RequestBytes(request, address));
+  AnswerReader answer(socket, request.deadline);
+  const auto head = answer.ReadHead();
+  if (!head) {
+    result.outcome = AttemptOutcome::kBroken;
+    result.detail = head.error().detail;
+    return false;
+  }
+  note_first_byte();
+  result.http_status = head->status;
+  const std::string* content_type = head->headers.Find("Content-Type");
+  result.content_type = content_type == nullptr ? "" : *content_type;
   const bool streamed =
       on_bytes != nullptr && result.http_status < kFirstClientError;
-  std::array<char, kReadBytes> buffer{};
-  bool whole = false;
+  bool content_complete = false;
   bool broken = false;
-  bool first = true;
-  while (!whole && !broken) {
-    body.read(buffer.data(), 1);
-    std::streamsize count = body.gcount();
-    if (count == 0) {
+  for (bool first = true; !content_complete && !broken; first = false) {
+    const auto data = answer.ReadBody();
+    if (!data) {
+      broken = true;
+      result.detail = data.error().detail;
+      break;
+    }
+    if (data->empty()) {
       break;
     }
-    count += body.readsome(buffer.data() + 1,
-                           static_cast<std::streamsize>(buffer.size() - 1));
     if (first) {
-      first = false;
-      result.first_byte_ms = static_cast<uint32_t>(
-          std::max<int64_t>(1, RemainingMs(Clock::now(), begin)));
-    }
-    const std::string_view bytes(buffer.data(), static_cast<size_t>(count));
-    if (Clock::now() >= request.deadline) {
-      // Each read is limited by the deadline, but a server may send a byte at a
-      // time without end.
-      broken = true;
-      result.detail = "the answer did not end before the deadline";
-    } else if (streamed) {
-      whole = !on_bytes(bytes, broken);
-    } else if (result.body.size() + bytes.size() > kMaxBodyBytes) {
+      note_first_byte();
+    }
+    if (streamed) {
+      content_complete = !on_bytes(*data, broken);
+    } else if (result.body.size() + data->size() > kMaxBodyBytes) {
       broken = true;
     } else {
-      result.body.append(bytes);
+      result.body.append(*data);
     }
   }
-  const bool failed = session.networkException() != nullptr || broken;
-  const bool short_body =
-      response.hasContentLength() && !streamed &&
-      result.body.size() != static_cast<size_t>(response.getContentLength64());
   if (result.http_status >= kFirstServerError) {
     result.outcome = AttemptOutcome::kServerError;
   } else if (result.http_status >= kFirstClientError) {
     result.outcome = AttemptOutcome::kRejected;
-  } else if (failed || short_body || (streamed && !whole)) {
+  } else if (broken || (streamed && !content_complete)) {
     result.outcome = AttemptOutcome::kBroken;
   } else {
     result.outcome = AttemptOutcome::kComplete;
-    reusable = response.getKeepAlive() && SkipToEnd(body, request.deadline) &&
-               session.networkException() == nullptr;
+    return head->keep_alive && SkipToEnd(answer) && !answer.spent();
   }
+  return false;
 }
 
 }  // namespace sequoialb
--- a/src/requests/backend_client.h
+++ b/src/requests/backend_client.h
@@ -3,10 +3,11 @@
 // The outgoing request is built from an allow-list: method, path, content type,
 // body and trace context. The caller's headers are never copied, so none of
 // them, in particular no key, can reach a server because a deny-list omitted
-// it.
+// it. The answer is read by the strict parser of src/http: one that ends inside
+// its head, or before its framing says so, is broken.
 #pragma once
 
-#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <atomic>
 #include <cstdint>
@@ -14,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -79,18 +81,24 @@
   void SetBlockedDomains(std::vector<std::string> domains);
 
  private:
-  using Session = std::unique_ptr<Poco::Net::HTTPClientSession>;
+  struct IdleConnection {
+    Poco::Net::StreamSocket socket;
+    TimePoint expires;
+  };
 
   bool IsBlocked(const std::string& failure_domain);
-  Session TakeIdle(const std::string& address);
-  void StoreIdle(const std::string& address, Session session);
-  Session Connect(const std::string& address);
-  void Exchange(Poco::Net::HTTPClientSession& session,
-                const AttemptRequest& request, const StreamHandler& on_bytes,
-                AttemptResult& result, bool& reusable);
+  std::optional<Poco::Net::StreamSocket> TakeIdle(const std::string& address);
+  void StoreIdle(const std::string& address,
+                 const Poco::Net::StreamSocket& socket);
+  // Sends the request and reads the answer. Returns whether the connection can
+  // be used again.
+  static bool Exchange(Poco::Net::StreamSocket& socket,
+                       const std::string& address,
+                       const AttemptRequest& request,
+                       const StreamHandler& on_bytes, AttemptResult& result);
 
   std::mutex mutex_;
-  std::map<std::string, std::vector<Session>> idle_;
+  std::map<std::string, std::vector<IdleConnection>> idle_;
   std::vector<std::string> blocked_domains_;
 };
 
--- a/test/correctness/backend_client_test.cc
+++ b/test/correctness/backend_client_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 using fakes::EndlessServer;
+using fakes::RawServer;
 
 constexpr char kChunkedHead[] =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -43,12 +44,40 @@
   EXPECT_EQ(result.detail, "the answer did not end before the deadline");
 }
 
+// Guards against an answer that ends early and reaches the caller as a whole
+// one with an empty or short body.
+TEST_F(BackendClientTest, AnAnswerThatEndsEarlyIsBroken) {
+  for (const std::string whole :
+       {"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX: y\r\n"
+        "Content-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"}) {
+    for (size_t size = 0; size <= whole.size(); ++size) {
+      RawServer server([&](Poco::Net::StreamSocket& socket, int) {
+        RawServer::ReadRequest(socket);
+        RawServer::Write(socket, whole.substr(0, size));
+      });
+      const AttemptResult result = Run(server.address());
+      EXPECT_EQ(result.outcome, size == whole.size() ? AttemptOutcome::kComplete
+                                                     : AttemptOutcome::kBroken)
+          << whole.substr(0, size);
+    }
+  }
+}
+
 TEST_F(BackendClientTest, HeaderFieldsWithoutEndAreBroken) {
   EndlessServer server("HTTP/1.1 200 OK\r\n", "X: y\r\n");
   EXPECT_EQ(Run(server.address()).outcome, AttemptOutcome::kBroken);
   EXPECT_LT(server.sent, EndlessServer::kMaxBytes);
 }
 
+TEST_F(BackendClientTest, ASlowHeadIsBrokenAtTheDeadline) {
+  EndlessServer server("HTTP/1.1 200 OK\r\nX: ", "y", milliseconds(20));
+  const AttemptResult result = Run(server.address());
+  EXPECT_EQ(result.outcome, AttemptOutcome::kBroken);
+  EXPECT_EQ(result.detail, "the answer did not end before the deadline");
+}
+
 // The stream's content is complete, but its chunked body goes on.
 TEST_F(BackendClientTest, BytesAfterACompleteStreamDoNotHoldTheCaller) {
   EndlessServer server(std::string(kChunkedHead) + "3\r\nend\r\n",
--- a/test/correctness/http_client_test.cc
+++ b/test/correctness/http_client_test.cc
@@ -177,6 +177,20 @@
   }
 }
 
+// Guards against a server that stops inside the head of its answer and closes.
+TEST_F(HttpClientTest, AnAnswerThatEndsInsideItsHeadIsBroken) {
+  const std::string head = "HTTP/1.1 200 OK\r\nId: a\r\nServer: x\r\n\r\n";
+  for (size_t size = 0; size < head.size(); ++size) {
+    RawServer server([&](Poco::Net::StreamSocket& socket, int) {
+      RawServer::ReadRequest(socket);
+      RawServer::Write(socket, head.substr(0, size));
+    });
+    const Outcome outcome = Call(server.address(), "a");
+    EXPECT_EQ(outcome.failure, CallFailure::kBroken) << head.substr(0, size);
+    EXPECT_EQ(outcome.status, 0);
+  }
+}
+
 TEST_F(HttpClientTest, ClosesAfterAnAnswerThatCameBeforeTheBody) {
   const std::string large(8U << 20U, 'x');
   RawServer server([&](Poco::Net::StreamSocket& socket, int number) {
