Reject batch items that could not be part of a request

Cause: the id, path and headers of an item come from JSON and were written to the server unchecked. The parser that checks heads never sees them.

Change: such a job is malformed (400), by the checks of the parser. These rejected bytes over 127 in a target only where char is signed; now they do everywhere.

--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -27,7 +27,11 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenChar);
 }
 
-bool IsVisible(char c) { return c > ' ' && c != '\x7f'; }
+// Whether `char` is signed depends on the machine.
+bool IsVisible(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return byte > ' ' && byte < 0x7f;
+}
 
 // Field values may hold tabs and bytes over 127, but no other control bytes.
 bool IsFieldChar(char c) {
@@ -79,7 +83,7 @@
           "a header name is empty or contains white space or another invalid "
           "character");
     }
-    if (!std::all_of(value.begin(), value.end(), IsFieldChar)) {
+    if (!IsHeaderValue(value)) {
       return Malformed("a header value contains a control character");
     }
     headers.Add(std::string(name), std::string(value));
@@ -190,6 +194,17 @@
   return end + 4;
 }
 
+bool IsRequestTarget(std::string_view text) {
+  return !text.empty() && text.front() == '/' &&
+         std::all_of(text.begin(), text.end(), IsVisible);
+}
+
+bool IsHeaderName(std::string_view text) { return IsToken(text); }
+
+bool IsHeaderValue(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), IsFieldChar);
+}
+
 std::optional<uint64_t> ParseDecimal(std::string_view text) {
   uint64_t value = 0;
   const char* end = text.data() + text.size();
@@ -219,8 +234,7 @@
     return Malformed(
         "the method is invalid or the HTTP version is not supported");
   }
-  if (request.target.empty() || request.target.front() != '/' ||
-      !std::all_of(request.target.begin(), request.target.end(), IsVisible)) {
+  if (!IsRequestTarget(request.target)) {
     return Malformed("the request target is not a path");
   }
   const Status fields = ParseFields(head, request.headers);
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -81,6 +81,13 @@
 Result<ResponseHead> ParseResponseHead(std::string_view head,
                                        bool to_head_request = false);
 
+// Return whether text may be written to a connection as a request target, as
+// the name of a header field, or as its value, without changing where the
+// message ends.
+bool IsRequestTarget(std::string_view text);
+bool IsHeaderName(std::string_view text);
+bool IsHeaderValue(std::string_view text);
+
 // Parses a decimal number that consists of digits only.
 std::optional<uint64_t> ParseDecimal(std::string_view text);
 
--- a/test/correctness/http_message_test.cc
+++ b/test/correctness/http_message_test.cc
@@ -49,7 +49,8 @@
 TEST(HttpMessage, RefusesBadRequestLines) {
   for (const char* line :
        {"GET /a", "GET  /a HTTP/1.1", "GET a HTTP/1.1", "GET /a HTTP/2.0",
-        "G(T /a HTTP/1.1", "GET /a\tb HTTP/1.1", "GET /a HTTP/1.1 x"}) {
+        "G(T /a HTTP/1.1", "GET /a\tb HTTP/1.1", "GET /a HTTP/1.1 x",
+        "GET /caf\xe9 HTTP/1.1"}) {
     const std::string head = std::string(line) + "\r\nHost: h\r\n\r\n";
     EXPECT_FALSE(ParseRequestHead(head).has_value()) << line;
   }
--- a/test/correctness/platform_adapter_test.cc
+++ b/test/correctness/platform_adapter_test.cc
@@ -282,6 +282,33 @@
   }
 }
 
+// Guards against a request that hides in an item and runs at a server as if a
+// client had sent it.
+TEST(GatewayAdapter, RejectsItemsThatHideARequest) {
+  const GatewayAdapter adapter;
+  const RequestHead submit = Head("POST /b/j1", "Request-Id: j1\r\n");
+  const auto decode = [&](const std::string& id, const std::string& path,
+                          const std::string& name, const std::string& value) {
+    return adapter
+        .DecodeSubmission(submit, R"({"Items":[{"Id":")" + id +
+                                      R"(","Path":")" + path +
+                                      R"(","Headers":{")" + name + R"(":")" +
+                                      value + R"("},"Tokens":9}]})")
+        .has_value();
+  };
+  EXPECT_TRUE(decode("i1", "/b/1?x=%0d%0a", "Model", "m \\u0437"));
+  const std::string hidden =
+      R"( HTTP/1.1\r\nHost: h\r\n\r\nPOST /hidden HTTP/1.1\r\nHost: h\r\n\r\n)";
+  EXPECT_FALSE(decode("i1", "/b/1" + hidden, "Model", "m"));
+  EXPECT_FALSE(decode("i1", "/b/1 HTTP/1.1", "Model", "m"));
+  EXPECT_FALSE(decode("i1", R"(/b/1\n)", "Model", "m"));
+  EXPECT_FALSE(decode("i1", "b/1", "Model", "m"));
+  EXPECT_FALSE(decode("i1" + hidden, "/b/1", "Model", "m"));
+  EXPECT_FALSE(decode("i1", "/b/1", "Model" + hidden, "m"));
+  EXPECT_FALSE(decode("i1", "/b/1", "Model:", "m"));
+  EXPECT_FALSE(decode("i1", "/b/1", "Model", "m" + hidden));
+}
+
 TEST(GatewayAdapter, EncodesResults) {
   proto::JobAnswer answer;
   answer.set_total(2);
