Count sound answers from shortly before a crash

Cause: a part is cleared by an answer after a crash alone. With no server left there is none, so each part in the crashes was suspect.

Ruled out: losses at one moment, which count once (these were 30 ms apart).

Change: fronts remember the sound answers of the last seconds and report them with a crash; an answer within 2 s before a crash clears a part too. An answer or item that an earlier server had begun is no evidence when it completes.

Evidence: CrashAnalysis.ALossOfAllServersIsNoEvidenceAgainstWhatWasAnsweredBefore and CrashRecorder.RemembersSoundAnswersFromBeforeACrash failed on the untouched code and pass.

--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -572,7 +572,7 @@
 
 void FleetHost::ReportCrashes(TimePoint now) {
   std::vector<CrashRecord> crashes = front_->crashes.TakeCrashes(now);
-  std::map<std::string, TimePoint> sound = front_->crashes.TakeSound();
+  std::map<std::string, TimePoint> sound = front_->crashes.TakeSound(now);
   if (crashes.empty() && sound.empty()) {
     return;
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -90,6 +90,8 @@
   bool has_event = false;
   // The end of the current answer is marked by its framing.
   bool end_marked = false;
+  // An earlier server's answer ended before it was complete.
+  bool broken_before = false;
   TimePoint deadline;
   TimerId deadline_timer = 0;
   bool waiting = false;
@@ -576,7 +578,9 @@
   front_.pool.RecordSuccess(request.backend);
   front_.crashes.RecordAlive(request.backend, front_.loop.now());
   // A crash may look like the end of an answer that ends with its connection.
-  if (request.end_marked) {
+  // An answer that several servers have begun may end before the last one
+  // crashes.
+  if (request.end_marked && !request.broken_before) {
     front_.crashes.RecordSound(request.caller.shared_parts, front_.loop.now());
   }
   const Duration held = front_.loop.now() - request.sent_at;
@@ -591,6 +595,7 @@
   const std::string backend = request.backend;
   if (failure == CallFailure::kBroken) {
     const TimePoint now = front_.loop.now();
+    request.broken_before = true;
     front_.crashes.RecordBroken(backend, request.caller.shared_parts,
                                 request.begun_at, now);
     LogInfo("attempt_broken",
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -162,7 +162,7 @@
     if (whole) {
       front_.pool.RecordSuccess(run.backend);
     }
-    if (whole && run.end_marked) {
+    if (whole && run.end_marked && !run.offer.has_last_event()) {
       front_.crashes.RecordSound(run.shared_parts, front_.loop.now());
     }
     End(run,
--- a/src/quarantine/crash_analysis.cc
+++ b/src/quarantine/crash_analysis.cc
@@ -79,6 +79,11 @@
   return found != sound_at_.end() && found->second >= at;
 }
 
+bool CrashAnalysis::IsCleared(const std::string& part,
+                              TimePoint crash_at) const {
+  return IsSoundSince(part, crash_at - kClearedBefore);
+}
+
 void CrashAnalysis::Expire(TimePoint now) {
   while (!crashes_.empty() && now - crashes_.front().at > kMaxAge) {
     crashes_.pop_front();
@@ -109,7 +114,7 @@
     std::set<std::string> counted;
     for (const std::vector<std::string>& parts : crash.requests) {
       for (const std::string& part : parts) {
-        if (IsSoundSince(part, crash.at)) {
+        if (IsCleared(part, crash.at)) {
           continue;
         }
         Suspicion& suspicion = suspicions[part];
@@ -146,7 +151,7 @@
   std::optional<std::vector<std::string>> common;
   TimePoint first_at;
   for (const Crash& crash : crashes_) {
-    if (IsSoundSince(part, crash.at)) {
+    if (IsCleared(part, crash.at)) {
       continue;
     }
     for (const std::vector<std::string>& parts : crash.requests) {
@@ -160,7 +165,7 @@
       common->erase(std::remove_if(common->begin(), common->end(),
                                    [&](const std::string& other) {
                                      return !Contains(parts, other) ||
-                                            IsSoundSince(other, first_at);
+                                            IsCleared(other, first_at);
                                    }),
                     common->end());
     }
--- a/src/quarantine/crash_analysis.h
+++ b/src/quarantine/crash_analysis.h
@@ -10,10 +10,10 @@
 // within the first few crashes, before most servers are down.
 //
 // A part is quarantined after a few crashes at different times without a sound
-// answer in between. Parts that occurred in every request with it are
-// quarantined together with it, as one combination; a sound answer to one of
-// them, or crashes without it, narrow the combination down. Servers that are
-// lost at one moment, such as those of a failure domain, count once.
+// answer in between or shortly before. Parts that occurred in every request
+// with it are quarantined together with it, as one combination; a sound answer
+// to one of them, or crashes without it, narrow the combination down. Servers
+// that are lost at one moment, such as those of a failure domain, count once.
 //
 // A pure state machine on the control group's leader. It is rebuilt from the
 // fronts' reports after a change of leader; only the quarantines are durable.
@@ -73,6 +73,10 @@
   // Time from a part's first unexplained crash for reports of sound answers to
   // arrive.
   static constexpr milliseconds kObservationTime{400};
+  // A part answered soundly this long before a crash did not cause it. When all
+  // servers of a service are lost at about the same time, nothing is answered
+  // after the first crash, and every part would be suspect.
+  static constexpr milliseconds kClearedBefore{2'000};
   // A crash counts after this time, when all fronts with requests on the server
   // have reported it.
   static constexpr milliseconds kSettleTime{250};
@@ -101,6 +105,8 @@
   void Expire(TimePoint now);
   static bool IsEnough(const Suspicion& suspicion, TimePoint now);
   bool IsSoundSince(const std::string& part, TimePoint at) const;
+  // Whether the part had a sound answer shortly before the crash or later.
+  bool IsCleared(const std::string& part, TimePoint crash_at) const;
   std::map<std::string, Suspicion> Suspicions(const Quarantines& active,
                                               TimePoint now) const;
   // Returns the parts that were in all requests with `part`, and in no sound
--- a/src/quarantine/crash_recorder.cc
+++ b/src/quarantine/crash_recorder.cc
@@ -14,6 +14,9 @@
 // Requests kept of one crash, and parts of own crashes that are watched.
 constexpr size_t kMaxRequests = 64;
 constexpr size_t kMaxOwnParts = 1'024;
+// Sound answers are remembered for at least this long, and to this many parts.
+constexpr milliseconds kSoundMemory{5'000};
+constexpr size_t kMaxSoundParts = 4'096;
 
 }  // namespace
 
@@ -41,20 +44,17 @@
   }
 }
 
-bool CrashRecorder::IsWatched(const std::string& part, TimePoint now) const {
-  const auto own = own_parts_.find(part);
-  const bool crashed_here = own != own_parts_.end() && now < own->second;
-  return crashed_here || watched_.count(part) > 0;
-}
-
 void CrashRecorder::RecordSound(const std::vector<std::string>& shared_parts,
                                 TimePoint now) {
-  if (own_parts_.empty() && watched_.empty()) {
-    return;
+  if (now - sound_since_ > kSoundMemory) {
+    older_sound_ = now - sound_since_ > kSoundMemory * 2 ? SoundAnswers()
+                                                         : std::move(sound_);
+    sound_.clear();
+    sound_since_ = now;
   }
   for (const std::string& part : shared_parts) {
-    if (IsWatched(part, now)) {
-      sound_[part] = now;
+    if (sound_.size() < kMaxSoundParts || sound_.count(part) > 0) {
+      sound_[part] = {now, false};
     }
   }
 }
@@ -84,8 +84,31 @@
   return crashes;
 }
 
-std::map<std::string, TimePoint> CrashRecorder::TakeSound() {
-  return std::exchange(sound_, {});
+void CrashRecorder::TakeSoundOf(const std::string& part,
+                                std::map<std::string, TimePoint>& out) {
+  for (SoundAnswers* answers : {&sound_, &older_sound_}) {
+    const auto found = answers->find(part);
+    if (found != answers->end()) {
+      if (!found->second.reported) {
+        out[part] = found->second.at;
+        found->second.reported = true;
+      }
+      return;
+    }
+  }
+}
+
+std::map<std::string, TimePoint> CrashRecorder::TakeSound(TimePoint now) {
+  std::map<std::string, TimePoint> out;
+  for (const auto& [part, until] : own_parts_) {
+    if (now < until) {
+      TakeSoundOf(part, out);
+    }
+  }
+  for (const std::string& part : watched_) {
+    TakeSoundOf(part, out);
+  }
+  return out;
 }
 
 }  // namespace sequoialb
--- a/src/quarantine/crash_recorder.h
+++ b/src/quarantine/crash_recorder.h
@@ -52,9 +52,10 @@
   // Returns the crashes that have been confirmed since the last call.
   std::vector<CrashRecord> TakeCrashes(TimePoint now);
 
-  // Returns the watched parts that have had a sound answer since the last call,
-  // with the time of the latest.
-  std::map<std::string, TimePoint> TakeSound();
+  // Returns the watched parts that have had a sound answer since the last call
+  // that returned them, with the time of the latest. An answer from shortly
+  // before the part was watched counts.
+  std::map<std::string, TimePoint> TakeSound(TimePoint now);
 
   // Returns whether an answer that has been streaming since `begun_at` shows
   // that its request does not crash the server.
@@ -69,14 +70,26 @@
   static constexpr milliseconds kConfirmationTime{100};
 
  private:
-  bool IsWatched(const std::string& part, TimePoint now) const;
+  struct SoundAnswer {
+    TimePoint at;
+    bool reported = false;
+  };
+  using SoundAnswers = std::map<std::string, SoundAnswer>;
+
+  // Moves `part` to `out` if it has an answer that was not reported.
+  void TakeSoundOf(const std::string& part,
+                   std::map<std::string, TimePoint>& out);
 
   // Possible crashes that are not confirmed yet, by server.
   std::map<std::string, CrashRecord> pending_;
   // Parts of the crashes seen here, and until when they are watched.
   std::map<std::string, TimePoint> own_parts_;
   std::set<std::string> watched_;
-  std::map<std::string, TimePoint> sound_;
+  // The latest sound answers to all parts, and those from before `sound_since_`
+  // that had none after it.
+  SoundAnswers sound_;
+  SoundAnswers older_sound_;
+  TimePoint sound_since_;
 };
 
 }  // namespace sequoialb
--- a/test/correctness/quarantine_test.cc
+++ b/test/correctness/quarantine_test.cc
@@ -180,6 +180,33 @@
   EXPECT_TRUE(active.empty());
 }
 
+// Guards against a quarantine of the part that all requests of a route share:
+// all servers are lost 30 ms after each other, so nothing is answered between
+// the crashes, nor until the decision.
+TEST(CrashAnalysis, ALossOfAllServersIsNoEvidenceAgainstWhatWasAnsweredBefore) {
+  CrashAnalysis analysis;
+  Quarantines active;
+  for (int i = 0; i < 4; ++i) {
+    analysis.AddCrash("e" + std::to_string(i), At(1'000 + 30 * i),
+                      {{"aa", "rare"}, {"aa", "dead"}});
+  }
+  analysis.AddSound("aa", At(980));
+  analysis.AddSound("rare", At(200));
+  DecideAll(analysis, At(1'600), active);
+  EXPECT_EQ(Texts(active), Parts{"dead"});
+  // The same loss without a part that was never answered.
+  CrashAnalysis sound_only;
+  active.Clear();
+  for (int i = 0; i < 4; ++i) {
+    sound_only.AddCrash("e" + std::to_string(i), At(1'000 + 30 * i),
+                        {{"aa", "rare"}, {"aa"}});
+  }
+  sound_only.AddSound("aa", At(980));
+  sound_only.AddSound("rare", At(200));
+  DecideAll(sound_only, At(1'600), active);
+  EXPECT_TRUE(active.empty());
+}
+
 TEST(CrashAnalysis, SeveralReportsOfOneCrashCountOnce) {
   CrashAnalysis analysis;
   Quarantines active;
@@ -433,9 +460,29 @@
   recorder.TakeCrashes(At(200));
   recorder.SetWatched({"bb"});
   recorder.RecordSound({"aa", "bb", "cc"}, At(300));
-  EXPECT_EQ(recorder.TakeSound(), (std::map<std::string, TimePoint>{
-                                      {"aa", At(300)}, {"bb", At(300)}}));
-  EXPECT_TRUE(recorder.TakeSound().empty());
+  EXPECT_EQ(
+      recorder.TakeSound(At(310)),
+      (std::map<std::string, TimePoint>{{"aa", At(300)}, {"bb", At(300)}}));
+  EXPECT_TRUE(recorder.TakeSound(At(310)).empty());
+}
+
+TEST(CrashRecorder, RemembersSoundAnswersFromBeforeACrash) {
+  CrashRecorder recorder;
+  recorder.RecordSound({"aa", "bb"}, At(0));
+  recorder.RecordSound({"cc"}, At(4'000));
+  EXPECT_TRUE(recorder.TakeSound(At(4'000)).empty());
+  recorder.RecordSound({"aa"}, At(5'500));
+  recorder.RecordBroken("e", {"aa", "bb", "cc"}, TimePoint(), At(6'000));
+  recorder.TakeCrashes(At(6'200));
+  EXPECT_EQ(recorder.TakeSound(At(6'200)),
+            (std::map<std::string, TimePoint>{
+                {"aa", At(5'500)}, {"bb", At(0)}, {"cc", At(4'000)}}));
+  EXPECT_TRUE(recorder.TakeSound(At(6'300)).empty());
+  // Answers from long ago are forgotten.
+  recorder.RecordSound({"dd"}, At(20'000));
+  recorder.SetWatched({"bb", "dd"});
+  EXPECT_EQ(recorder.TakeSound(At(20'000)),
+            (std::map<std::string, TimePoint>{{"dd", At(20'000)}}));
 }
 
 TEST(CrashEvidence, SendsACrashOnceToEachControlHost) {
