Refuse a configuration whose parts are missing or of another type

Cause: DecodeLimits and a service's Engine did not look at their reader's status, and lists were optional.

Change: Routes and Services must be lists, Limits an object whose fields have their types.

--- a/test/correctness/platform_adapter_test.cc
+++ b/test/correctness/platform_adapter_test.cc
@@ -54,7 +54,14 @@
            {"\"TimeoutMs\":5000", "\"TimeoutMs\":-1"},
            {"\"ApiKeys\":[\"k1\"", "\"ApiKeys\":[1"},
            {"\"Weight\":90", "\"Weight\":\"90\""},
-           {"\"Routes\":[", "\"Routes\":[1,"}}) {
+           {"\"Routes\":[", "\"Routes\":[1,"},
+           // Parts that are missing or of another type.
+           {"\"Routes\":[", "\"OtherRoutes\":["},
+           {"\"Services\":[", "\"OtherServices\":["},
+           {"\"Limits\":{", "\"Limits\":[],\"OtherLimits\":{"},
+           {"\"Slots\":8", "\"Slots\":\"8\""},
+           {"\"MaxBodyBytes\":2000", "\"MaxBodyBytes\":\"2000\""},
+           {"\"IdleTimeoutMs\":15000", "\"IdleTimeoutMs\":-1"}}) {
     std::string invalid = valid;
     invalid.replace(invalid.find(from), from.size(), to);
     EXPECT_FALSE(adapter.DecodeCatalog(invalid).has_value()) << to;
