Drop closed jobs as fast as jobs are accepted

Change: up to 64 are dropped in each interval, chosen by a pure function.

Evidence: JobTable.ClosedJobsAreDroppedAsFastAsJobsAreAccepted (new).

--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -29,6 +29,18 @@
   return tokens;
 }
 
+std::vector<std::string> JobTable::ClosedJobsToDrop(int64_t unix_now,
+                                                    size_t most) const {
+  std::vector<std::string> ids;
+  for (const auto& [id, job] : jobs_) {
+    const int64_t kept_until = job.job.accepted_unix_ms() + job.job.keep_ms();
+    if (!job.open() && unix_now > kept_until && ids.size() < most) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
 void JobTable::Index(JobState& job) {
   for (size_t i = 0; i < job.items.size(); ++i) {
     job.by_id[job.items[i].id()] = i;
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -61,6 +61,10 @@
   uint64_t WaitingTokens(const std::string& account,
                          const std::string& route_host) const;
 
+  // Returns at most `most` closed jobs whose results no longer need to be kept.
+  std::vector<std::string> ClosedJobsToDrop(int64_t unix_now,
+                                            size_t most) const;
+
  private:
   Status Submit(const proto::JobRecord& record);
   void RecordResult(const proto::StoreCommand::ItemDone& done);
--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -13,6 +13,8 @@
 // voter immediately. More of them would only cost memory, disk and traffic
 // between failure domains.
 constexpr size_t kStandbys = 1;
+// Jobs dropped in each interval; several times as many as are accepted in it.
+constexpr size_t kMaxDropsAtOnce = 64;
 // A read returns at most about this many bytes of results.
 constexpr size_t kMaxReadBytes = 900'000;
 // Wall clocks differ between hosts and step by seconds, so time limits that
@@ -320,14 +322,14 @@
 // has passed, and drops closed jobs whose results are no longer retained.
 void StoreService::ExpireJobs(TimePoint now) {
   const int64_t unix_now = UnixMs();
+  for (const std::string& id :
+       jobs_.ClosedJobsToDrop(unix_now - kClockMarginMs, kMaxDropsAtOnce)) {
+    proto::StoreCommand command;
+    command.set_drop_job(id);
+    group_->Propose(command.SerializeAsString(), now, [](const Status&) {});
+  }
   for (const auto& [id, job] : jobs_.jobs()) {
     const int64_t age = unix_now - job.job.accepted_unix_ms();
-    if (!job.open() && age > job.job.keep_ms() + kClockMarginMs) {
-      proto::StoreCommand command;
-      command.set_drop_job(id);
-      group_->Propose(command.SerializeAsString(), now, [](const Status&) {});
-      return;
-    }
     if (!job.open() || job.job.give_up_ms() == 0 ||
         age <= job.job.give_up_ms() + kClockMarginMs) {
       continue;
--- a/test/correctness/jobs_test.cc
+++ b/test/correctness/jobs_test.cc
@@ -89,6 +89,27 @@
 }
 
 // A snapshot is written by another thread while further commands are applied.
+// Guards against closed jobs that pile up where more jobs are accepted a second
+// than are dropped.
+TEST(JobTable, ClosedJobsAreDroppedAsFastAsJobsAreAccepted) {
+  JobTable table;
+  for (int i = 0; i < 20; ++i) {
+    proto::JobRecord job = Job("j" + std::to_string(i), 1);
+    job.set_token_cap(0);
+    job.set_accepted_unix_ms(1'000);
+    job.set_keep_ms(500);
+    ASSERT_TRUE(table.Apply(Submit(job)).has_value());
+  }
+  EXPECT_TRUE(table.ClosedJobsToDrop(5'000, 64).empty()) << "all are open";
+  for (int i = 0; i < 15; ++i) {
+    const std::string id = "j" + std::to_string(i);
+    ASSERT_TRUE(table.Apply(Done(id, id + "-0", "x")).has_value());
+  }
+  EXPECT_TRUE(table.ClosedJobsToDrop(1'500, 64).empty());
+  EXPECT_EQ(table.ClosedJobsToDrop(1'501, 64).size(), 15U);
+  EXPECT_EQ(table.ClosedJobsToDrop(1'501, 8).size(), 8U);
+}
+
 TEST(JobTable, ASavedStateExcludesLaterCommands) {
   JobTable table;
   ASSERT_TRUE(table.Apply(Submit(Job("j", 2))).has_value());
