Number calls from a random number

Read in the review: calls between hosts are matched by a number that began at 1 in each process, and answers do not name the process that asked. A late answer could be taken for that of another call after a restart.

Change: the calls of JobClient, ControlService and TokenLeaseHolder begin at a random number.

Evidence: TokenLeaseHolder.IgnoresRepliesToItsPredecessor (new; numbers that begin at 1 make it fail by construction). The other two have no test of their own.

--- a/src/base/hash.cc
+++ b/src/base/hash.cc
@@ -80,4 +80,6 @@
   return best == nullptr ? std::string() : *best;
 }
 
+uint64_t RandomCallNumber() { return Hash64(RandomHex(8)); }
+
 }  // namespace sequoialb
--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -20,6 +20,10 @@
 // digits.
 std::string RandomHex(size_t bytes);
 
+// Returns a random number from which a process numbers its calls. An answer
+// that was meant for the process before it then matches no call.
+uint64_t RandomCallNumber();
+
 // Returns true when both strings are equal, in time that depends only on their
 // lengths, so that a comparison of secrets leaks nothing through timing.
 bool ConstantTimeEqual(std::string_view a, std::string_view b);
--- a/src/fleet/control_service.h
+++ b/src/fleet/control_service.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "base/hash.h"
 #include "catalog/catalog.h"
 #include "fleet/backend_registry.h"
 #include "fleet/control_state.h"
@@ -127,7 +128,7 @@
   // The catalog in force, decoded to look up the accounts' rate limits.
   std::unique_ptr<CatalogIndex> catalog_;
   RateOwner rates_;
-  uint64_t next_call_ = 1;
+  uint64_t next_call_ = RandomCallNumber();
   std::map<uint64_t, PendingCall> calls_;
   Counter& hellos_;
   Counter& announcements_;
--- a/src/jobs/job_client.h
+++ b/src/jobs/job_client.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/hash.h"
 #include "fleet/fleet_member.h"
 #include "fleet/host_links.h"
 
@@ -51,7 +52,7 @@
 
   HostLinks& links_;
   const FleetMember& member_;
-  uint64_t next_call_ = 1;
+  uint64_t next_call_ = RandomCallNumber();
   std::string leader_;
   // When the leader last answered, or another host named it as the leader.
   TimePoint leader_last_contact_;
--- a/src/rates/token_lease_holder.h
+++ b/src/rates/token_lease_holder.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "base/hash.h"
 #include "base/time.h"
 #include "proto/peer.pb.h"
 
@@ -91,7 +92,7 @@
   bool RequestIsDue(const AccountState& state, TimePoint now) const;
 
   bool one_token_per_request_;
-  uint64_t next_number_ = 1;
+  uint64_t next_number_ = RandomCallNumber();
   std::map<std::string, AccountState> accounts_;
 };
 
--- a/test/correctness/rate_limiter_test.cc
+++ b/test/correctness/rate_limiter_test.cc
@@ -117,6 +117,32 @@
             2);
 }
 
+// Guards against an answer to the process before a restart that is taken for an
+// answer to this one's request.
+TEST(TokenLeaseHolder, IgnoresRepliesToItsPredecessor) {
+  const TimePoint now = TimePoint(seconds(100));
+  TokenLeaseHolder before(false);
+  TokenLeaseHolder after(false);
+  before.Begin("acct", now);
+  const uint64_t ticket = after.Begin("acct", now);
+  const auto late = before.TakeMessages(now);
+  const auto own = after.TakeMessages(now);
+  ASSERT_EQ(late.size(), 1U);
+  ASSERT_EQ(own.size(), 1U);
+  proto::TokenReply reply;
+  reply.set_account("acct");
+  reply.set_granted(1);
+  reply.set_valid_ms(300);
+  reply.set_request_id(late[0].request.request_id());
+  after.OnReply(reply, now);
+  EXPECT_EQ(after.Poll("acct", ticket, now).answer,
+            TokenLeaseHolder::Answer::kWait);
+  reply.set_request_id(own[0].request.request_id());
+  after.OnReply(reply, now);
+  EXPECT_EQ(after.Poll("acct", ticket, now).answer,
+            TokenLeaseHolder::Answer::kTaken);
+}
+
 // A new owner's bucket begins empty. Under a demand above the rate it never
 // fills, and must not leave the refusals to the fronts without an end.
 TEST(OwnerBucket, RecoversUnderADemandAboveTheRate) {
