Let continued answers clear a part of earlier crashes again

Cause: did not count answers that several servers had begun. With three servers that crash in turn, the sound requests of one combination all lost their first server, so nothing cleared it.

Ruled out: a control group without a leader (it had one within a second of the restart; 552 of 564 refusals named the quarantine).

Change: whole answers, given by one server from their beginning, are reported apart. They clear a part of crashes up to 2 s later; all other sound answers clear it of crashes before them, as they did before.

--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -572,7 +572,7 @@
 
 void FleetHost::ReportCrashes(TimePoint now) {
   std::vector<CrashRecord> crashes = front_->crashes.TakeCrashes(now);
-  std::map<std::string, TimePoint> sound = front_->crashes.TakeSound(now);
+  SoundParts sound = front_->crashes.TakeSound(now);
   if (crashes.empty() && sound.empty()) {
     return;
   }
@@ -584,8 +584,11 @@
              {"requests", std::to_string(crash.requests.size())}});
     crash.at += offset;
   }
-  for (auto& [part, at] : sound) {
-    at += offset;
+  for (auto& [part, answers] : sound) {
+    answers.at += offset;
+    if (answers.whole_at != TimePoint()) {
+      answers.whole_at += offset;
+    }
   }
   PostControl([this, crashes, sound] {
     member_->ReportCrashes(crashes, sound, BootNow());
--- a/src/fleet/fleet_member.cc
+++ b/src/fleet/fleet_member.cc
@@ -172,8 +172,7 @@
 }
 
 void FleetMember::ReportCrashes(const std::vector<CrashRecord>& crashes,
-                                const std::map<std::string, TimePoint>& sound,
-                                TimePoint now) {
+                                const SoundParts& sound, TimePoint now) {
   for (const CrashRecord& crash : crashes) {
     crash_evidence_.AddCrash(crash);
   }
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -68,8 +68,7 @@
   // without a crash. Crashes are reported without waiting for the next regular
   // heartbeat.
   void ReportCrashes(const std::vector<CrashRecord>& crashes,
-                     const std::map<std::string, TimePoint>& sound,
-                     TimePoint now);
+                     const SoundParts& sound, TimePoint now);
   // Marks this host as leaving, from its next heartbeat on.
   void Leave() { options_.self.set_leaving(true); }
 
--- a/src/fleet/quarantine_service.cc
+++ b/src/fleet/quarantine_service.cc
@@ -48,9 +48,14 @@
                                {"requests", std::to_string(requests.size())}});
   }
   for (const proto::SoundAnswer& answer : hello.sound_answers()) {
-    analysis_.AddSound(
-        answer.part(),
-        now - milliseconds(std::min(answer.ago_ms(), kMaxReportAgeMs)));
+    const auto time_of = [now](uint32_t ago_ms) {
+      return now - milliseconds(std::min(ago_ms, kMaxReportAgeMs));
+    };
+    SoundAnswers answers{time_of(answer.ago_ms()), TimePoint()};
+    if (answer.has_whole()) {
+      answers.whole_at = time_of(answer.whole_ago_ms());
+    }
+    analysis_.AddSound(answer.part(), answers);
   }
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -483,7 +483,7 @@
     request.begun_at = now;
   }
   if (CrashRecorder::HasSurvived(request.begun_at, now)) {
-    front_.crashes.RecordSound(request.caller.shared_parts, now);
+    front_.crashes.RecordSound(request.caller.shared_parts, true, now);
   }
 }
 
@@ -578,10 +578,9 @@
   front_.pool.RecordSuccess(request.backend);
   front_.crashes.RecordAlive(request.backend, front_.loop.now());
   // A crash may look like the end of an answer that ends with its connection.
-  // An answer that several servers have begun may end before the last one
-  // crashes.
-  if (request.end_marked && !request.broken_before) {
-    front_.crashes.RecordSound(request.caller.shared_parts, front_.loop.now());
+  if (request.end_marked) {
+    front_.crashes.RecordSound(request.caller.shared_parts,
+                               !request.broken_before, front_.loop.now());
   }
   const Duration held = front_.loop.now() - request.sent_at;
   mean_hold_ +=
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -162,8 +162,9 @@
     if (whole) {
       front_.pool.RecordSuccess(run.backend);
     }
-    if (whole && run.end_marked && !run.offer.has_last_event()) {
-      front_.crashes.RecordSound(run.shared_parts, front_.loop.now());
+    if (whole && run.end_marked) {
+      front_.crashes.RecordSound(run.shared_parts, !run.offer.has_last_event(),
+                                 front_.loop.now());
     }
     End(run,
         run.status_outcome.value_or(whole ? proto::ItemOutcome::kComplete
@@ -245,7 +246,7 @@
     }
     run.received_data = true;
     if (CrashRecorder::HasSurvived(run.begun_at, run.last_progress_at)) {
-      front_.crashes.RecordSound(run.shared_parts, run.last_progress_at);
+      front_.crashes.RecordSound(run.shared_parts, true, run.last_progress_at);
     }
   }
   if (run.parser.foreign()) {
--- a/src/quarantine/crash_analysis.cc
+++ b/src/quarantine/crash_analysis.cc
@@ -66,30 +66,36 @@
   }
 }
 
-void CrashAnalysis::AddSound(const std::string& part, TimePoint at) {
+void CrashAnalysis::AddSound(const std::string& part,
+                             const SoundAnswers& answers) {
   changed_ = true;
-  if (sound_at_.size() < kMaxSoundParts || sound_at_.count(part) > 0) {
-    TimePoint& last = sound_at_[part];
-    last = std::max(last, at);
+  if (sound_.size() < kMaxSoundParts || sound_.count(part) > 0) {
+    SoundAnswers& last = sound_[part];
+    last.at = std::max(last.at, answers.at);
+    last.whole_at = std::max(last.whole_at, answers.whole_at);
   }
 }
 
 bool CrashAnalysis::IsSoundSince(const std::string& part, TimePoint at) const {
-  const auto found = sound_at_.find(part);
-  return found != sound_at_.end() && found->second >= at;
+  const auto found = sound_.find(part);
+  return found != sound_.end() && found->second.at >= at;
 }
 
 bool CrashAnalysis::IsCleared(const std::string& part,
                               TimePoint crash_at) const {
-  return IsSoundSince(part, crash_at - kClearedBefore);
+  const auto found = sound_.find(part);
+  return found != sound_.end() &&
+         (found->second.at >= crash_at ||
+          (found->second.whole_at != TimePoint() &&
+           found->second.whole_at >= crash_at - kClearedBefore));
 }
 
 void CrashAnalysis::Expire(TimePoint now) {
   while (!crashes_.empty() && now - crashes_.front().at > kMaxAge) {
     crashes_.pop_front();
   }
-  for (auto it = sound_at_.begin(); it != sound_at_.end();) {
-    it = now - it->second > kMaxAge ? sound_at_.erase(it) : std::next(it);
+  for (auto it = sound_.begin(); it != sound_.end();) {
+    it = now - it->second.at > kMaxAge ? sound_.erase(it) : std::next(it);
   }
 }
 
--- a/src/quarantine/crash_analysis.h
+++ b/src/quarantine/crash_analysis.h
@@ -26,6 +26,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "quarantine/crash_recorder.h"
 #include "quarantine/quarantine_list.h"
 
 namespace sequoialb {
@@ -48,8 +49,8 @@
   void AddCrash(const std::string& backend, TimePoint at,
                 const std::vector<std::vector<std::string>>& requests);
 
-  // Records that a request with the part was answered without a crash.
-  void AddSound(const std::string& part, TimePoint at);
+  // Records answers without a crash to requests with the part.
+  void AddSound(const std::string& part, const SoundAnswers& answers);
 
   // Returns the parts whose sound answers the fronts should report.
   std::vector<std::string> WatchedParts(const Quarantines& active,
@@ -73,9 +74,9 @@
   // Time from a part's first unexplained crash for reports of sound answers to
   // arrive.
   static constexpr milliseconds kObservationTime{400};
-  // A part answered soundly this long before a crash did not cause it. When all
-  // servers of a service are lost at about the same time, nothing is answered
-  // after the first crash, and every part would be suspect.
+  // A part with a whole answer this long before a crash did not cause it. When
+  // all servers of a service are lost at about the same time, nothing is
+  // answered after the first crash, and every part would be suspect.
   static constexpr milliseconds kClearedBefore{2'000};
   // A crash counts after this time, when all fronts with requests on the server
   // have reported it.
@@ -105,7 +106,8 @@
   void Expire(TimePoint now);
   static bool IsEnough(const Suspicion& suspicion, TimePoint now);
   bool IsSoundSince(const std::string& part, TimePoint at) const;
-  // Whether the part had a sound answer shortly before the crash or later.
+  // Whether the part had a sound answer after the crash, or a whole one shortly
+  // before it.
   bool IsCleared(const std::string& part, TimePoint crash_at) const;
   std::map<std::string, Suspicion> Suspicions(const Quarantines& active,
                                               TimePoint now) const;
@@ -117,7 +119,7 @@
 
   // In order of time.
   std::deque<Crash> crashes_;
-  std::map<std::string, TimePoint> sound_at_;
+  SoundParts sound_;
   // Without new reports the same decision would be reached again, except that
   // the observation time passes.
   bool changed_ = false;
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -1,5 +1,7 @@
 #include "quarantine/crash_evidence.h"
 
+#include <algorithm>
+
 namespace sequoialb {
 namespace {
 
@@ -28,13 +30,14 @@
   }
 }
 
-void CrashEvidence::AddSound(const std::map<std::string, TimePoint>& sound,
-                             TimePoint now) {
-  for (const auto& [part, at] : sound) {
-    sound_[part] = at;
+void CrashEvidence::AddSound(const SoundParts& sound, TimePoint now) {
+  for (const auto& [part, answers] : sound) {
+    SoundAnswers& known = sound_[part];
+    known.at = answers.at;
+    known.whole_at = std::max(known.whole_at, answers.whole_at);
   }
   for (auto it = sound_.begin(); it != sound_.end();) {
-    it = now - it->second > kSoundMaxAge ? sound_.erase(it) : std::next(it);
+    it = now - it->second.at > kSoundMaxAge ? sound_.erase(it) : std::next(it);
   }
 }
 
@@ -49,11 +52,15 @@
       crash.set_ago_ms(AgeMs(numbered.at, now));
     }
   }
-  for (const auto& [part, at] : sound_) {
-    if (now - at <= kSoundMaxAge) {
+  for (const auto& [part, answers] : sound_) {
+    if (now - answers.at <= kSoundMaxAge) {
       proto::SoundAnswer& answer = *hello.add_sound_answers();
       answer.set_part(part);
-      answer.set_ago_ms(AgeMs(at, now));
+      answer.set_ago_ms(AgeMs(answers.at, now));
+      answer.set_has_whole(answers.whole_at != TimePoint());
+      if (answer.has_whole()) {
+        answer.set_whole_ago_ms(AgeMs(answers.whole_at, now));
+      }
     }
   }
 }
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -17,7 +17,7 @@
 class CrashEvidence {
  public:
   void AddCrash(const CrashRecord& record);
-  void AddSound(const std::map<std::string, TimePoint>& sound, TimePoint now);
+  void AddSound(const SoundParts& sound, TimePoint now);
 
   // Replaces the fields about crashes in a heartbeat to a control host that has
   // received the crashes up to number `cursor`.
@@ -31,7 +31,7 @@
 
   uint64_t last_number_ = 0;
   std::deque<NumberedCrash> crashes_;
-  std::map<std::string, TimePoint> sound_;
+  SoundParts sound_;
 };
 
 }  // namespace sequoialb
--- a/src/quarantine/crash_recorder.cc
+++ b/src/quarantine/crash_recorder.cc
@@ -44,17 +44,28 @@
   }
 }
 
+bool CrashRecorder::IsWatched(const std::string& part, TimePoint now) const {
+  const auto own = own_parts_.find(part);
+  const bool crashed_here = own != own_parts_.end() && now < own->second;
+  return crashed_here || watched_.count(part) > 0;
+}
+
 void CrashRecorder::RecordSound(const std::vector<std::string>& shared_parts,
-                                TimePoint now) {
+                                bool whole, TimePoint now) {
   if (now - sound_since_ > kSoundMemory) {
-    older_sound_ = now - sound_since_ > kSoundMemory * 2 ? SoundAnswers()
+    older_sound_ = now - sound_since_ > kSoundMemory * 2 ? RememberedParts()
                                                          : std::move(sound_);
     sound_.clear();
     sound_since_ = now;
   }
   for (const std::string& part : shared_parts) {
-    if (sound_.size() < kMaxSoundParts || sound_.count(part) > 0) {
-      sound_[part] = {now, false};
+    const bool has_room =
+        sound_.size() < kMaxSoundParts || sound_.count(part) > 0;
+    if (has_room && (whole || IsWatched(part, now))) {
+      Remembered& remembered = sound_[part];
+      remembered.answers.at = now;
+      remembered.answers.whole_at = whole ? now : remembered.answers.whole_at;
+      remembered.reported = false;
     }
   }
 }
@@ -84,13 +95,12 @@
   return crashes;
 }
 
-void CrashRecorder::TakeSoundOf(const std::string& part,
-                                std::map<std::string, TimePoint>& out) {
-  for (SoundAnswers* answers : {&sound_, &older_sound_}) {
-    const auto found = answers->find(part);
-    if (found != answers->end()) {
+void CrashRecorder::TakeSoundOf(const std::string& part, SoundParts& out) {
+  for (RememberedParts* parts : {&sound_, &older_sound_}) {
+    const auto found = parts->find(part);
+    if (found != parts->end()) {
       if (!found->second.reported) {
-        out[part] = found->second.at;
+        out[part] = found->second.answers;
         found->second.reported = true;
       }
       return;
@@ -98,8 +108,8 @@
   }
 }
 
-std::map<std::string, TimePoint> CrashRecorder::TakeSound(TimePoint now) {
-  std::map<std::string, TimePoint> out;
+SoundParts CrashRecorder::TakeSound(TimePoint now) {
+  SoundParts out;
   for (const auto& [part, until] : own_parts_) {
     if (now < until) {
       TakeSoundOf(part, out);
--- a/src/quarantine/crash_recorder.h
+++ b/src/quarantine/crash_recorder.h
@@ -30,6 +30,20 @@
   std::vector<std::vector<std::string>> requests;
 };
 
+// The latest answers to requests with one part of a prompt that show that the
+// part crashed no server.
+struct SoundAnswers {
+  TimePoint at;
+  // The latest that one server gave from its beginning, or TimePoint(). When
+  // several servers have each begun an answer, the rest of it may be short
+  // enough to end before the last server crashes.
+  TimePoint whole_at;
+
+  bool operator==(const SoundAnswers&) const = default;
+};
+
+using SoundParts = std::map<std::string, SoundAnswers>;
+
 class CrashRecorder {
  public:
   // Records that a request at the server ended without a complete answer. An
@@ -42,8 +56,10 @@
   void RecordAlive(const std::string& backend, TimePoint now);
 
   // Records a request that was answered, or has been streaming for a while,
-  // without a crash. Call for each later part of such an answer too.
-  void RecordSound(const std::vector<std::string>& shared_parts, TimePoint now);
+  // without a crash. Call for each later part of such an answer too. `whole`
+  // says whether one server has given the answer from its beginning.
+  void RecordSound(const std::vector<std::string>& shared_parts, bool whole,
+                   TimePoint now);
 
   // Sets the parts for which sound answers are collected, beside those of the
   // crashes seen here.
@@ -53,9 +69,9 @@
   std::vector<CrashRecord> TakeCrashes(TimePoint now);
 
   // Returns the watched parts that have had a sound answer since the last call
-  // that returned them, with the time of the latest. An answer from shortly
-  // before the part was watched counts.
-  std::map<std::string, TimePoint> TakeSound(TimePoint now);
+  // that returned them. Whole answers from shortly before the part was watched
+  // count.
+  SoundParts TakeSound(TimePoint now);
 
   // Returns whether an answer that has been streaming since `begun_at` shows
   // that its request does not crash the server.
@@ -70,15 +86,15 @@
   static constexpr milliseconds kConfirmationTime{100};
 
  private:
-  struct SoundAnswer {
-    TimePoint at;
+  struct Remembered {
+    SoundAnswers answers;
     bool reported = false;
   };
-  using SoundAnswers = std::map<std::string, SoundAnswer>;
+  using RememberedParts = std::map<std::string, Remembered>;
 
-  // Moves `part` to `out` if it has an answer that was not reported.
-  void TakeSoundOf(const std::string& part,
-                   std::map<std::string, TimePoint>& out);
+  bool IsWatched(const std::string& part, TimePoint now) const;
+  // Copies the answers to `part` to `out` if they were not reported.
+  void TakeSoundOf(const std::string& part, SoundParts& out);
 
   // Possible crashes that are not confirmed yet, by server.
   std::map<std::string, CrashRecord> pending_;
@@ -87,8 +103,8 @@
   std::set<std::string> watched_;
   // The latest sound answers to all parts, and those from before `sound_since_`
   // that had none after it.
-  SoundAnswers sound_;
-  SoundAnswers older_sound_;
+  RememberedParts sound_;
+  RememberedParts older_sound_;
   TimePoint sound_since_;
 };
 
--- a/test/correctness/quarantine_test.cc
+++ b/test/correctness/quarantine_test.cc
@@ -70,11 +70,11 @@
   CrashAnalysis analysis;
   Quarantines active;
   AddCrashes(analysis, 3, {"aa", "bb", "dead"});
-  analysis.AddSound("aa", At(250));
+  analysis.AddSound("aa", {At(250), TimePoint()});
   DecideAll(analysis, At(900), active);
   EXPECT_TRUE(active.empty());
   analysis.AddCrash("e9", At(950), {{"aa", "z"}, {"aa", "bb", "dead"}});
-  analysis.AddSound("aa", At(960));
+  analysis.AddSound("aa", {At(960), TimePoint()});
   DecideAll(analysis, At(1'100), active);
   EXPECT_TRUE(active.empty()) << "not all fronts may have reported the crash";
   DecideAll(analysis, At(1'200), active);
@@ -89,7 +89,7 @@
   }
   DecideAll(analysis, At(390), active);
   EXPECT_TRUE(active.empty());
-  analysis.AddSound("aa", At(395));
+  analysis.AddSound("aa", {At(395), TimePoint()});
   DecideAll(analysis, At(450), active);
   EXPECT_EQ(Texts(active), Parts{"dead"});
 }
@@ -99,10 +99,10 @@
   CrashAnalysis analysis;
   Quarantines active;
   AddCrashes(analysis, 4, {"aa", "bb", "dead"});
-  analysis.AddSound("aa", At(400));
+  analysis.AddSound("aa", {At(400), TimePoint()});
   DecideAll(analysis, At(600), active);
   EXPECT_EQ(Texts(active), Parts{"bb+dead"});
-  analysis.AddSound("bb", At(650));
+  analysis.AddSound("bb", {At(650), TimePoint()});
   DecideAll(analysis, At(700), active);
   EXPECT_EQ(Texts(active), Parts{"dead"});
 }
@@ -112,7 +112,7 @@
   CrashAnalysis analysis;
   Quarantines active;
   AddCrashes(analysis, 4, {"aa", "bb", "dead"});
-  analysis.AddSound("aa", At(400));
+  analysis.AddSound("aa", {At(400), TimePoint()});
   DecideAll(analysis, At(600), active);
   analysis.AddCrash("f", At(3'000), {{"aa", "cc", "dead"}});
   analysis.AddCrash("g", At(3'150), {{"aa", "cc", "dead"}});
@@ -142,10 +142,10 @@
   CrashAnalysis analysis;
   Quarantines active;
   AddCrashes(analysis, 4, {"aa", "rare"});
-  analysis.AddSound("aa", At(400));
+  analysis.AddSound("aa", {At(400), TimePoint()});
   DecideAll(analysis, At(600), active);
   EXPECT_EQ(Texts(active), Parts{"rare"});
-  analysis.AddSound("rare", At(650));
+  analysis.AddSound("rare", {At(650), TimePoint()});
   DecideAll(analysis, At(700), active);
   EXPECT_TRUE(active.empty());
 }
@@ -158,7 +158,7 @@
     analysis.AddCrash("e" + n, At(150 * i), {{"aa", "dead"}, {"aa", "x" + n}});
     analysis.AddCrash("f" + n, At(150 * i + 75),
                       {{"aa", "lethal"}, {"aa", "y" + n}});
-    analysis.AddSound("aa", At(150 * i + 80));
+    analysis.AddSound("aa", {At(150 * i + 80), TimePoint()});
   }
   DecideAll(analysis, At(1'000), active);
   const std::vector<std::string> found = Texts(active);
@@ -190,8 +190,8 @@
     analysis.AddCrash("e" + std::to_string(i), At(1'000 + 30 * i),
                       {{"aa", "rare"}, {"aa", "dead"}});
   }
-  analysis.AddSound("aa", At(980));
-  analysis.AddSound("rare", At(200));
+  analysis.AddSound("aa", {At(980), At(980)});
+  analysis.AddSound("rare", {At(200), At(200)});
   DecideAll(analysis, At(1'600), active);
   EXPECT_EQ(Texts(active), Parts{"dead"});
   // The same loss without a part that was never answered.
@@ -201,8 +201,8 @@
     sound_only.AddCrash("e" + std::to_string(i), At(1'000 + 30 * i),
                         {{"aa", "rare"}, {"aa"}});
   }
-  sound_only.AddSound("aa", At(980));
-  sound_only.AddSound("rare", At(200));
+  sound_only.AddSound("aa", {At(980), At(980)});
+  sound_only.AddSound("rare", {At(200), At(200)});
   DecideAll(sound_only, At(1'600), active);
   EXPECT_TRUE(active.empty());
 }
@@ -325,7 +325,7 @@
           ++harmful_crashes_;
         } else {
           for (const std::string& part : request.parts) {
-            analysis_.AddSound(part, At(now_ms_));
+            analysis_.AddSound(part, {At(now_ms_), At(now_ms_)});
           }
         }
       }
@@ -459,37 +459,42 @@
   recorder.RecordBroken("e", {"aa"}, TimePoint(), At(0));
   recorder.TakeCrashes(At(200));
   recorder.SetWatched({"bb"});
-  recorder.RecordSound({"aa", "bb", "cc"}, At(300));
+  recorder.RecordSound({"aa", "bb", "cc"}, false, At(300));
+  recorder.RecordSound({"bb"}, true, At(305));
   EXPECT_EQ(
       recorder.TakeSound(At(310)),
-      (std::map<std::string, TimePoint>{{"aa", At(300)}, {"bb", At(300)}}));
+      (SoundParts{{"aa", {At(300), TimePoint()}}, {"bb", {At(305), At(305)}}}));
   EXPECT_TRUE(recorder.TakeSound(At(310)).empty());
 }
 
-TEST(CrashRecorder, RemembersSoundAnswersFromBeforeACrash) {
+TEST(CrashRecorder, RemembersWholeAnswersFromBeforeACrash) {
   CrashRecorder recorder;
-  recorder.RecordSound({"aa", "bb"}, At(0));
-  recorder.RecordSound({"cc"}, At(4'000));
-  EXPECT_TRUE(recorder.TakeSound(At(4'000)).empty());
-  recorder.RecordSound({"aa"}, At(5'500));
-  recorder.RecordBroken("e", {"aa", "bb", "cc"}, TimePoint(), At(6'000));
+  recorder.RecordSound({"aa", "bb"}, true, At(0));
+  recorder.RecordSound({"cc"}, true, At(4'000));
+  // A harmful request that several servers have begun to answer.
+  recorder.RecordSound({"dead"}, false, At(5'900));
+  EXPECT_TRUE(recorder.TakeSound(At(5'900)).empty());
+  recorder.RecordSound({"aa"}, true, At(5'950));
+  recorder.RecordBroken("e", {"aa", "bb", "cc", "dead"}, TimePoint(),
+                        At(6'000));
   recorder.TakeCrashes(At(6'200));
   EXPECT_EQ(recorder.TakeSound(At(6'200)),
-            (std::map<std::string, TimePoint>{
-                {"aa", At(5'500)}, {"bb", At(0)}, {"cc", At(4'000)}}));
+            (SoundParts{{"aa", {At(5'950), At(5'950)}},
+                        {"bb", {At(0), At(0)}},
+                        {"cc", {At(4'000), At(4'000)}}}));
   EXPECT_TRUE(recorder.TakeSound(At(6'300)).empty());
   // Answers from long ago are forgotten.
-  recorder.RecordSound({"dd"}, At(20'000));
+  recorder.RecordSound({"dd"}, true, At(20'000));
   recorder.SetWatched({"bb", "dd"});
   EXPECT_EQ(recorder.TakeSound(At(20'000)),
-            (std::map<std::string, TimePoint>{{"dd", At(20'000)}}));
+            (SoundParts{{"dd", {At(20'000), At(20'000)}}}));
 }
 
 TEST(CrashEvidence, SendsACrashOnceToEachControlHost) {
   CrashEvidence evidence;
   evidence.AddCrash({"e", At(0), {{"aa", "dead"}, {"bb"}}});
   evidence.AddCrash({"f", At(100), {{"aa"}}});
-  evidence.AddSound({{"aa", At(150)}}, At(200));
+  evidence.AddSound({{"aa", {At(150), At(100)}}}, At(200));
   proto::HostHello hello;
   evidence.Fill(0, At(300), hello);
   ASSERT_EQ(hello.crashes_size(), 2);
@@ -497,6 +502,7 @@
   EXPECT_EQ(hello.crashes(0).requests_size(), 2);
   ASSERT_EQ(hello.sound_answers_size(), 1);
   EXPECT_EQ(hello.sound_answers(0).ago_ms(), 150U);
+  EXPECT_EQ(hello.sound_answers(0).whole_ago_ms(), 200U);
   evidence.Fill(1, At(300), hello);
   ASSERT_EQ(hello.crashes_size(), 1);
   EXPECT_EQ(hello.crashes(0).backend(), "f");
