One copy of the loop over all connections of a server

Cause: Drain and CloseIfIdle each copied the connections before closing them, since closing one removes it.

Change: AllConnections makes the copy. Behaviour is the same.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -411,14 +411,19 @@
     return false;
   }
   StopAccepting();
+  for (const auto& connection : AllConnections()) {
+    connection->Close();
+  }
+  return true;
+}
+
+std::vector<std::shared_ptr<HttpConnection>> HttpServer::AllConnections()
+    const {
   std::vector<std::shared_ptr<HttpConnection>> all;
   for (const auto& [pointer, connection] : connections_) {
     all.push_back(connection);
   }
-  for (const auto& connection : all) {
-    connection->Close();
-  }
-  return true;
+  return all;
 }
 
 uint16_t HttpServer::port() const { return socket_.address().port(); }
@@ -448,11 +453,7 @@
 void HttpServer::Drain(TimePoint close_idle_at) {
   draining_ = true;
   loop_.RunAt(close_idle_at, [this] {
-    std::vector<std::shared_ptr<HttpConnection>> all;
-    for (const auto& [pointer, connection] : connections_) {
-      all.push_back(connection);
-    }
-    for (const auto& connection : all) {
+    for (const auto& connection : AllConnections()) {
       connection->Drain();
     }
   });
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "http/event_loop.h"
 #include "http/message.h"
@@ -126,6 +127,8 @@
              Metrics& metrics);
   void Accept();
   void StopAccepting();
+  // A copy, because closing a connection removes it.
+  std::vector<std::shared_ptr<HttpConnection>> AllConnections() const;
   void Remove(HttpConnection* connection);
 
   EventLoop& loop_;
