--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -43,6 +43,8 @@
   TimePoint begun_at;
   // The end of the answer is marked by its framing.
   bool end_marked = false;
+  // The status of the server's answer, or 0.
+  int status = 0;
   // Set when the response status alone decides the outcome.
   std::optional<proto::ItemOutcome::Kind> status_outcome;
 };
@@ -198,6 +200,7 @@
 void ItemRunner::OnHead(Run& run, const ResponseHead& head) {
   const TimePoint now = front_.loop.now();
   run.end_marked = head.framing != BodyFraming::kUntilClose;
+  run.status = head.status;
   const BackendAnswer answer = front_.protocol.DecodeAnswer(head);
   front_.RecordServerState(run.backend, answer);
   if (answer.other_server) {
@@ -285,6 +288,8 @@
   outcome.set_output(run.output);
   outcome.set_has_last_event(run.last_event.has_value());
   outcome.set_last_event(run.last_event.value_or(0));
+  outcome.set_backend(run.backend);
+  outcome.set_status(static_cast<uint32_t>(run.status));
   (kind == proto::ItemOutcome::kComplete ? completed_ : stopped_).Add();
   run.call.reset();
   if (!run.backend.empty()) {
--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -1,6 +1,7 @@
 #include "jobs/store_service.h"
 
 #include <algorithm>
+#include <array>
 
 #include "observe/log.h"
 
@@ -21,6 +22,12 @@
 // are compared with them are extended by this much.
 constexpr int64_t kClockMarginMs = 8'000;
 
+std::string_view ReasonName(DeathReason reason) {
+  constexpr std::array<std::string_view, 3> kNames = {
+      "never_possible", "failed_runs", "time_limit"};
+  return kNames.at(static_cast<size_t>(reason));
+}
+
 void SetError(proto::JobAnswer& answer, const Error& error) {
   answer.set_error_name(std::string(ErrorName(error.code)));
   answer.set_detail(error.detail);
@@ -252,17 +259,20 @@
     return;
   }
   switch (outcome.kind()) {
-    case proto::ItemOutcome::kComplete:
+    case proto::ItemOutcome::kComplete: {
       scheduler_.OnCompleted(outcome, now);
-      RecordResult(from, name, false, outcome.output(), now);
+      proto::StoreCommand::ItemDone result;
+      result.set_output(outcome.output());
+      RecordResult(from, name, std::move(result), now);
       return;
+    }
     case proto::ItemOutcome::kNeverPossible:
-      RecordResult(from, name, true, "", now);
+      RecordDeath(from, outcome, DeathReason::kNeverPossible, now);
       return;
     case proto::ItemOutcome::kFailed: {
       const auto action = scheduler_.OnFailed(from, outcome, now);
       if (action == ItemScheduler::FailureAction::kFailPermanently) {
-        RecordResult(from, name, true, "", now);
+        RecordDeath(from, outcome, DeathReason::kFailedRuns, now);
         return;
       }
       if (action == ItemScheduler::FailureAction::kIgnore) {
@@ -274,6 +284,15 @@
         AcknowledgeOutcome(from, name);
         return;
       }
+      LogInfo("item_failure_counted",
+              {{"job", name.job()},
+               {"item", name.item()},
+               {"front", from},
+               {"attempt", std::to_string(name.attempt())},
+               {"backend", outcome.backend()},
+               {"status", std::to_string(outcome.status())},
+               {"failures",
+                std::to_string(job->items[position->second].failures + 1)}});
       proto::StoreCommand command;
       command.mutable_failed()->set_job(name.job());
       command.mutable_failed()->set_item(name.item());
@@ -289,33 +308,48 @@
   }
 }
 
-void StoreService::RecordResult(const std::string& from,
+void StoreService::RecordDeath(const std::string& front,
+                               const proto::ItemOutcome& outcome,
+                               DeathReason reason, TimePoint now) {
+  const proto::ItemName& name = outcome.name();
+  const JobState* job = jobs_.Find(name.job());
+  LogInfo("item_dead",
+          {{"job", name.job()},
+           {"item", name.item()},
+           {"reason", std::string(ReasonName(reason))},
+           {"front", front},
+           {"attempt", std::to_string(name.attempt())},
+           {"backend", outcome.backend()},
+           {"status", std::to_string(outcome.status())},
+           {"accepted_ms_ago",
+            std::to_string(UnixMs() - job->job.accepted_unix_ms())}});
+  proto::StoreCommand::ItemDone result;
+  result.set_dead(true);
+  RecordResult(front, name, std::move(result), now);
+}
+
+void StoreService::RecordResult(const std::string& front,
                                 const proto::ItemName& name,
-                                bool failed_permanently,
-                                const std::string& output, TimePoint now) {
+                                proto::StoreCommand::ItemDone result,
+                                TimePoint now) {
   proto::StoreCommand command;
-  command.mutable_done()->set_job(name.job());
-  command.mutable_done()->set_item(name.item());
-  command.mutable_done()->set_dead(failed_permanently);
-  command.mutable_done()->set_output(output);
+  result.set_job(name.job());
+  result.set_item(name.item());
+  *command.mutable_done() = std::move(result);
   const ItemKey key{name.job(), name.item()};
   recording_.insert(key);
-  group_->Propose(
-      command.SerializeAsString(), now,
-      [this, from, name, key, failed_permanently](const Status& outcome) {
-        recording_.erase(key);
-        if (!outcome) {
-          return;
-        }
-        recorded_.Add();
-        scheduler_.Remove(name.job(), name.item());
-        if (failed_permanently) {
-          LogInfo("item_dead", {{"job", name.job()}, {"item", name.item()}});
-        }
-        if (!from.empty()) {
-          AcknowledgeOutcome(from, name);
-        }
-      });
+  group_->Propose(command.SerializeAsString(), now,
+                  [this, front, name, key](const Status& outcome) {
+                    recording_.erase(key);
+                    if (!outcome) {
+                      return;
+                    }
+                    recorded_.Add();
+                    scheduler_.Remove(name.job(), name.item());
+                    if (!front.empty()) {
+                      AcknowledgeOutcome(front, name);
+                    }
+                  });
 }
 
 // Records items as permanently failed once the time limit of their submission
@@ -336,10 +370,10 @@
     }
     for (const JobItemState& item : job.items) {
       if (!item.finished && recording_.count({id, item.id()}) == 0) {
-        proto::ItemName name;
-        name.set_job(id);
-        name.set_item(item.id());
-        RecordResult("", name, true, "", now);
+        proto::ItemOutcome outcome;
+        outcome.mutable_name()->set_job(id);
+        outcome.mutable_name()->set_item(item.id());
+        RecordDeath("", outcome, DeathReason::kTimeLimit, now);
       }
     }
   }
--- a/src/jobs/store_service.h
+++ b/src/jobs/store_service.h
@@ -14,6 +14,17 @@
 
 namespace sequoialb {
 
+// Why an item is recorded as dead.
+enum class DeathReason : uint8_t {
+  // A backend server answered that the item can never be done, or a front's
+  // catalog has no route for it any more.
+  kNeverPossible,
+  // As many runs failed as the job allows.
+  kFailedRuns,
+  // The time limit of the job's submission has passed.
+  kTimeLimit,
+};
+
 class StoreService {
  public:
   // Opens the store group's data on disk; fails with kCorrupt or kIo.
@@ -51,9 +62,12 @@
   void ReadBody(const proto::JobCall& call, proto::JobAnswer& answer) const;
   void ProposeCall(const std::string& from, const proto::JobCall& call,
                    TimePoint now);
-  void RecordResult(const std::string& from, const proto::ItemName& name,
-                    bool failed_permanently, const std::string& output,
-                    TimePoint now);
+  // Records a result and then acknowledges the outcome to the front that sent
+  // it, if any.
+  void RecordResult(const std::string& front, const proto::ItemName& name,
+                    proto::StoreCommand::ItemDone result, TimePoint now);
+  void RecordDeath(const std::string& front, const proto::ItemOutcome& outcome,
+                   DeathReason reason, TimePoint now);
   void AcknowledgeOutcome(const std::string& to, const proto::ItemName& name);
   void ExpireJobs(TimePoint now);
 
