Count a failed run of a batch item once, by the run's own number

Cause: nothing named the run that an outcome belongs to. A front sends an outcome until it is acknowledged and lists the item in its reports until then. A leader that answered late read outcome, report, outcome: the report made the ended run current again, and the second copy counted as another failure. A new leader did the same, with a count that the old one had committed. Both numbered their runs from 1. The class: a message that is sent again is taken for a new event.

Change: runs have numbers that no other leader gives (term and count); the group's state counts a failure for a run once and keeps which runs it has counted; the front is told once the failure is committed, and the item is not offered until then. A leader that finds an item with its last failure counted, but no result, records its death.

--- a/src/group/consensus_group.h
+++ b/src/group/consensus_group.h
@@ -91,6 +91,7 @@
       const std::set<std::string>& retiring, TimePoint now);
 
   bool leads() const { return raft_->role() == RaftRole::kLeader; }
+  uint64_t term() const { return raft_->term(); }
   // True while this node holds a valid leader lease and has applied everything
   // that is committed, so that no newer state can exist on another node.
   bool IsConfirmedLeader(TimePoint now) const;
--- a/src/jobs/item_scheduler.cc
+++ b/src/jobs/item_scheduler.cc
@@ -19,6 +19,8 @@
 // Delay before a failed item is offered again, so that it runs on another
 // server.
 constexpr milliseconds kRetryDelay{300};
+// Bits of a run's number that count the runs that one leader has offered.
+constexpr unsigned kAttemptBits = 32;
 // Weight of the newest run in the means.
 constexpr double kNewestRunWeight = 0.1;
 // Factor by which bursts of online requests lengthen an item's run: they take
@@ -27,7 +29,8 @@
 
 }  // namespace
 
-void ItemScheduler::StartLeading(TimePoint now) {
+void ItemScheduler::StartLeading(uint64_t term, TimePoint now) {
+  next_attempt_ = (term << kAttemptBits) + 1;
   running_.clear();
   progress_.clear();
   not_before_.clear();
@@ -40,12 +43,16 @@
   if (job == nullptr || job->ended) {
     return nullptr;
   }
-  const auto position = job->by_id.find(key.second);
-  if (position == job->by_id.end()) {
-    return nullptr;
-  }
-  const JobItemState& item = job->items[position->second];
-  return item.finished ? nullptr : &item;
+  const JobItemState* item = job->FindItem(key.second);
+  return item == nullptr || item->finished ? nullptr : item;
+}
+
+bool ItemScheduler::IsCurrent(const std::string& front,
+                              const proto::ItemOutcome& outcome) const {
+  const auto running =
+      running_.find({outcome.name().job(), outcome.name().item()});
+  return running != running_.end() && running->second.front == front &&
+         running->second.attempt == outcome.name().attempt();
 }
 
 void ItemScheduler::ReconcileRunning(const std::string& front,
@@ -59,13 +66,17 @@
     const bool assigned_elsewhere =
         known != running_.end() && (known->second.front != front ||
                                     known->second.attempt != name.attempt());
-    if (FindUnfinished(key) == nullptr || assigned_elsewhere) {
+    const JobItemState* item = FindUnfinished(key);
+    if (item == nullptr || assigned_elsewhere) {
       *answer.add_stop() = name;
       continue;
     }
+    if (item->HasCounted(name.attempt())) {
+      // The front does not know yet that the outcome has been recorded.
+      continue;
+    }
     if (known == running_.end()) {
       running_[key] = {front, name.attempt(), now, true};
-      next_attempt_ = std::max(next_attempt_, name.attempt() + 1);
     } else {
       known->second.reported = true;
     }
@@ -127,7 +138,7 @@
     for (const JobItemState& item : job.items) {
       const Key key{id, item.id()};
       const auto paused = not_before_.find(key);
-      if (item.finished || running_.count(key) > 0 ||
+      if (item.finished || job.IsSpent(item) || running_.count(key) > 0 ||
           (paused != not_before_.end() && now < paused->second) ||
           IsQuarantined(item)) {
         continue;
@@ -222,14 +233,12 @@
 void ItemScheduler::OnReturned(const std::string& front,
                                const proto::ItemOutcome& outcome,
                                TimePoint now) {
-  const Key key{outcome.name().job(), outcome.name().item()};
-  const auto running = running_.find(key);
-  if (running == running_.end() || running->second.front != front ||
-      running->second.attempt != outcome.name().attempt()) {
+  if (!IsCurrent(front, outcome)) {
     return;
   }
-  const Duration run_time = now - running->second.offered_at;
-  running_.erase(running);
+  const Key key{outcome.name().job(), outcome.name().item()};
+  const Duration run_time = now - running_.at(key).offered_at;
+  running_.erase(key);
   not_before_[key] = now;
   if (outcome.has_last_event()) {
     Progress& progress = progress_[key];
@@ -238,25 +247,13 @@
   }
 }
 
-ItemScheduler::FailureAction ItemScheduler::OnFailed(
-    const std::string& front, const proto::ItemOutcome& outcome,
-    TimePoint now) {
-  const Key key{outcome.name().job(), outcome.name().item()};
-  const auto running = running_.find(key);
-  if (running == running_.end() || running->second.front != front ||
-      running->second.attempt != outcome.name().attempt()) {
-    return FailureAction::kIgnore;
-  }
-  running_.erase(running);
-  not_before_[key] = now + kRetryDelay;
-  const JobItemState* item = FindUnfinished(key);
-  const JobState* job = jobs_.Find(key.first);
-  if (item == nullptr || job == nullptr) {
-    return FailureAction::kRetry;
+void ItemScheduler::OnFailed(const std::string& front,
+                             const proto::ItemOutcome& outcome, TimePoint now) {
+  if (IsCurrent(front, outcome)) {
+    const Key key{outcome.name().job(), outcome.name().item()};
+    running_.erase(key);
+    not_before_[key] = now + kRetryDelay;
   }
-  return item->failures + 1 >= job->job.attempts()
-             ? FailureAction::kFailPermanently
-             : FailureAction::kRetry;
 }
 
 void ItemScheduler::Remove(const std::string& job, const std::string& item) {
--- a/src/jobs/item_scheduler.h
+++ b/src/jobs/item_scheduler.h
@@ -40,15 +40,11 @@
 
 class ItemScheduler {
  public:
-  // What to do with an item after a failed attempt. kIgnore: the outcome is not
-  // that of the item's current run, so it has been counted before.
-  enum class FailureAction : uint8_t { kIgnore, kRetry, kFailPermanently };
-
   explicit ItemScheduler(const JobTable& jobs) : jobs_(jobs) {}
 
-  // Called when this host becomes the leader. Discards all state, and delays
-  // offers until the fronts have had time to report.
-  void StartLeading(TimePoint now);
+  // Called when this host becomes the leader, with its term. Discards all
+  // state, and delays offers until the fronts have had time to report.
+  void StartLeading(uint64_t term, TimePoint now);
 
   // Processes a front's report and fills in the items to start and to stop.
   void OnReport(const std::string& front, const proto::ItemReport& report,
@@ -57,9 +53,9 @@
   // Saves the progress of an item that a front returned unfinished.
   void OnReturned(const std::string& front, const proto::ItemOutcome& outcome,
                   TimePoint now);
-  // Ends a failed attempt and returns what to do with the item.
-  FailureAction OnFailed(const std::string& front,
-                         const proto::ItemOutcome& outcome, TimePoint now);
+  // Ends a failed run, which has been counted, if it is the item's current one.
+  void OnFailed(const std::string& front, const proto::ItemOutcome& outcome,
+                TimePoint now);
   // Updates the mean run time and event count from a completed item.
   void OnCompleted(const proto::ItemOutcome& outcome, TimePoint now);
   // Drops the state of an item whose result has been recorded.
@@ -79,7 +75,7 @@
   using Key = std::pair<std::string, std::string>;
   struct Running {
     std::string front;
-    uint32_t attempt = 0;
+    uint64_t attempt = 0;
     TimePoint offered_at;
     bool reported = false;
   };
@@ -99,6 +95,9 @@
   };
 
   const JobItemState* FindUnfinished(const Key& key) const;
+  // Returns whether the outcome is that of the item's current run.
+  bool IsCurrent(const std::string& front,
+                 const proto::ItemOutcome& outcome) const;
   void ReconcileRunning(const std::string& front,
                         const proto::ItemReport& report, TimePoint now,
                         proto::ItemOffers& answer);
@@ -130,7 +129,9 @@
   const JobTable& jobs_;
   Quarantines quarantines_;
   TimePoint no_offers_until_;
-  uint32_t next_attempt_ = 1;
+  // The term of this leader in the upper half, so that no two leaders give a
+  // run the same number.
+  uint64_t next_attempt_ = 1;
   std::map<Key, Running> running_;
   std::map<Key, Progress> progress_;
   std::map<Key, TimePoint> not_before_;
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -1,5 +1,7 @@
 #include "jobs/job_table.h"
 
+#include <algorithm>
+
 #include "observe/log.h"
 
 namespace sequoialb {
@@ -9,6 +11,16 @@
   return result == nullptr ? kNone : *result;
 }
 
+bool JobItemState::HasCounted(uint64_t attempt) const {
+  return std::find(failed_attempts.begin(), failed_attempts.end(), attempt) !=
+         failed_attempts.end();
+}
+
+const JobItemState* JobState::FindItem(const std::string& id) const {
+  const auto position = by_id.find(id);
+  return position == by_id.end() ? nullptr : &items[position->second];
+}
+
 const JobState* JobTable::Find(const std::string& id) const {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : &found->second;
@@ -111,6 +123,28 @@
   job.result_order.push_back(static_cast<uint32_t>(position->second));
 }
 
+Status JobTable::CountFailure(const proto::StoreCommand::ItemFailed& failed) {
+  const auto found = jobs_.find(failed.job());
+  if (found == jobs_.end()) {
+    return {};
+  }
+  const auto position = found->second.by_id.find(failed.item());
+  if (position == found->second.by_id.end()) {
+    return {};
+  }
+  JobItemState& item = found->second.items[position->second];
+  if (failed.attempt() == 0) {
+    item.failures = failed.failures();
+    return {};
+  }
+  if (item.HasCounted(failed.attempt())) {
+    return Fail(ErrorCode::kConflict, "this run has been counted as failed");
+  }
+  item.failed_attempts.push_back(failed.attempt());
+  ++item.failures;
+  return {};
+}
+
 Status JobTable::Apply(const std::string& command) {
   proto::StoreCommand parsed;
   if (!parsed.ParseFromString(command)) {
@@ -133,17 +167,8 @@
     case proto::StoreCommand::kDropJob:
       jobs_.erase(parsed.drop_job());
       return {};
-    case proto::StoreCommand::kFailed: {
-      const auto found = jobs_.find(parsed.failed().job());
-      if (found != jobs_.end()) {
-        const auto position = found->second.by_id.find(parsed.failed().item());
-        if (position != found->second.by_id.end()) {
-          found->second.items[position->second].failures =
-              parsed.failed().failures();
-        }
-      }
-      return {};
-    }
+    case proto::StoreCommand::kFailed:
+      return CountFailure(parsed.failed());
     default:
       return Fail(ErrorCode::kCorrupt,
                   "a command in the log is of an unknown kind");
@@ -180,6 +205,8 @@
       stored_item.set_dead(item.failed_permanently);
       stored_item.set_output(item.output());
       stored_item.set_failures(item.failures);
+      stored_item.mutable_failed_attempts()->Assign(
+          item.failed_attempts.begin(), item.failed_attempts.end());
     }
     return stored.SerializeAsString();
   };
@@ -207,6 +234,8 @@
           std::move(*item.mutable_output()));
     }
     item_state.failures = item.failures();
+    item_state.failed_attempts.assign(item.failed_attempts().begin(),
+                                      item.failed_attempts().end());
     job.items.push_back(std::move(item_state));
   }
   Index(job);
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -29,8 +29,13 @@
   bool failed_permanently = false;
   // Set once the item is complete.
   std::shared_ptr<const std::string> result;
+  // How many runs have failed, and which, so that none is counted again when
+  // its outcome is sent again. Runs that earlier versions counted are not
+  // named.
   uint32_t failures = 0;
+  std::vector<uint64_t> failed_attempts;
 
+  bool HasCounted(uint64_t attempt) const;
   const std::string& id() const { return item->id(); }
   const std::string& output() const;
 };
@@ -44,6 +49,12 @@
   bool ended = false;
 
   bool open() const { return !ended && result_order.size() < items.size(); }
+  // Returns whether as many runs of the item have failed as the job allows.
+  bool IsSpent(const JobItemState& item) const {
+    return item.failures > 0 && item.failures >= job.attempts();
+  }
+  // Returns nullptr when the job has no such item.
+  const JobItemState* FindItem(const std::string& id) const;
 };
 
 class JobTable : public GroupState {
@@ -68,6 +79,8 @@
  private:
   Status Submit(const proto::JobRecord& record);
   void RecordResult(const proto::StoreCommand::ItemDone& done);
+  // Fails with kConflict when the run has been counted before.
+  Status CountFailure(const proto::StoreCommand::ItemFailed& failed);
   static void Index(JobState& job);
 
   std::map<std::string, JobState> jobs_;
--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -115,6 +115,18 @@
   group_->Receive(message, now);
 }
 
+bool StoreService::ConfirmLeadership(TimePoint now) {
+  if (!group_->IsConfirmedLeader(now)) {
+    return false;
+  }
+  if (group_->term() != leading_term_) {
+    leading_term_ = group_->term();
+    scheduler_.StartLeading(leading_term_, now);
+    recording_.clear();
+  }
+  return true;
+}
+
 void StoreService::Answer(const std::string& to, proto::JobAnswer answer) {
   answer.set_leader_host(group_->leader_host());
   proto::FleetMessage message;
@@ -126,7 +138,7 @@
                           TimePoint now) {
   proto::JobAnswer answer;
   answer.set_call(call.call());
-  if (!group_->IsConfirmedLeader(now)) {
+  if (!ConfirmLeadership(now)) {
     SetError(answer, {ErrorCode::kNoQuorum,
                       "this host is not the leader of the store group"});
     Answer(from, std::move(answer));
@@ -225,7 +237,7 @@
   proto::FleetMessage message;
   proto::ItemOffers& offers = *message.mutable_item_offers();
   offers.set_leader_host(group_->leader_host());
-  offers.set_leads(group_->IsConfirmedLeader(now));
+  offers.set_leads(ConfirmLeadership(now));
   if (offers.leads()) {
     scheduler_.OnReport(from, report, now, offers);
   }
@@ -241,17 +253,15 @@
 
 void StoreService::OnOutcome(const std::string& from,
                              const proto::ItemOutcome& outcome, TimePoint now) {
-  if (!group_->IsConfirmedLeader(now)) {
+  if (!ConfirmLeadership(now)) {
     return;
   }
   const proto::ItemName& name = outcome.name();
   const ItemKey key{name.job(), name.item()};
   const JobState* job = jobs_.Find(name.job());
-  const auto position = job == nullptr ? decltype(job->by_id.end()){}
-                                       : job->by_id.find(name.item());
-  const bool unfinished = job != nullptr && position != job->by_id.end() &&
-                          !job->items[position->second].finished;
-  if (!unfinished) {
+  const JobItemState* item =
+      job == nullptr ? nullptr : job->FindItem(name.item());
+  if (item == nullptr || item->finished) {
     AcknowledgeOutcome(from, name);
     return;
   }
@@ -269,45 +279,65 @@
     case proto::ItemOutcome::kNeverPossible:
       RecordDeath(from, outcome, DeathReason::kNeverPossible, now);
       return;
-    case proto::ItemOutcome::kFailed: {
-      const auto action = scheduler_.OnFailed(from, outcome, now);
-      if (action == ItemScheduler::FailureAction::kFailPermanently) {
-        RecordDeath(from, outcome, DeathReason::kFailedRuns, now);
-        return;
-      }
-      if (action == ItemScheduler::FailureAction::kIgnore) {
-        LogInfo("item_failure_ignored",
-                {{"job", name.job()},
-                 {"item", name.item()},
-                 {"front", from},
-                 {"attempt", std::to_string(name.attempt())}});
-        AcknowledgeOutcome(from, name);
-        return;
-      }
-      LogInfo("item_failure_counted",
-              {{"job", name.job()},
-               {"item", name.item()},
-               {"front", from},
-               {"attempt", std::to_string(name.attempt())},
-               {"backend", outcome.backend()},
-               {"status", std::to_string(outcome.status())},
-               {"failures",
-                std::to_string(job->items[position->second].failures + 1)}});
-      proto::StoreCommand command;
-      command.mutable_failed()->set_job(name.job());
-      command.mutable_failed()->set_item(name.item());
-      command.mutable_failed()->set_failures(
-          job->items[position->second].failures + 1);
-      group_->Propose(command.SerializeAsString(), now, [](const Status&) {});
-      AcknowledgeOutcome(from, name);
+    case proto::ItemOutcome::kFailed:
+      CountFailure(from, outcome, now);
       return;
-    }
     default:
       scheduler_.OnReturned(from, outcome, now);
       AcknowledgeOutcome(from, name);
   }
 }
 
+// The front is told only once the failure is committed: a failure that a new
+// leader does not know of has to be sent again.
+void StoreService::CountFailure(const std::string& front,
+                                const proto::ItemOutcome& outcome,
+                                TimePoint now) {
+  const proto::ItemName& name = outcome.name();
+  const ItemKey key{name.job(), name.item()};
+  proto::StoreCommand command;
+  proto::StoreCommand::ItemFailed& failed = *command.mutable_failed();
+  failed.set_job(name.job());
+  failed.set_item(name.item());
+  failed.set_attempt(name.attempt());
+  failed.set_failures(jobs_.Find(name.job())->FindItem(name.item())->failures +
+                      1);
+  recording_.insert(key);
+  group_->Propose(command.SerializeAsString(), now,
+                  [this, front, outcome, key, now](const Status& counted) {
+                    recording_.erase(key);
+                    OnFailureCounted(front, outcome, counted, now);
+                  });
+}
+
+void StoreService::OnFailureCounted(const std::string& front,
+                                    const proto::ItemOutcome& outcome,
+                                    const Status& counted, TimePoint now) {
+  const bool repeated =
+      !counted && counted.error().code == ErrorCode::kConflict;
+  if (!counted && !repeated) {
+    return;
+  }
+  const proto::ItemName& name = outcome.name();
+  const JobState* job = jobs_.Find(name.job());
+  const JobItemState* item =
+      job == nullptr ? nullptr : job->FindItem(name.item());
+  LogInfo(repeated ? "item_failure_repeated" : "item_failure_counted",
+          {{"job", name.job()},
+           {"item", name.item()},
+           {"front", front},
+           {"attempt", std::to_string(name.attempt())},
+           {"backend", outcome.backend()},
+           {"status", std::to_string(outcome.status())},
+           {"failures", std::to_string(item == nullptr ? 0 : item->failures)}});
+  scheduler_.OnFailed(front, outcome, now);
+  if (item != nullptr && !item->finished && job->IsSpent(*item)) {
+    RecordDeath(front, outcome, DeathReason::kFailedRuns, now);
+  } else {
+    AcknowledgeOutcome(front, name);
+  }
+}
+
 void StoreService::RecordDeath(const std::string& front,
                                const proto::ItemOutcome& outcome,
                                DeathReason reason, TimePoint now) {
@@ -363,17 +393,23 @@
     group_->Propose(command.SerializeAsString(), now, [](const Status&) {});
   }
   for (const auto& [id, job] : jobs_.jobs()) {
-    const int64_t age = unix_now - job.job.accepted_unix_ms();
-    if (!job.open() || job.job.give_up_ms() == 0 ||
-        age <= job.job.give_up_ms() + kClockMarginMs) {
+    if (!job.open()) {
       continue;
     }
+    const int64_t age = unix_now - job.job.accepted_unix_ms();
+    const bool expired = job.job.give_up_ms() != 0 &&
+                         age > job.job.give_up_ms() + kClockMarginMs;
     for (const JobItemState& item : job.items) {
-      if (!item.finished && recording_.count({id, item.id()}) == 0) {
+      // An earlier leader may have counted the last failure without recording
+      // the item's death.
+      const bool ends = expired || job.IsSpent(item);
+      if (ends && !item.finished && recording_.count({id, item.id()}) == 0) {
         proto::ItemOutcome outcome;
         outcome.mutable_name()->set_job(id);
         outcome.mutable_name()->set_item(item.id());
-        RecordDeath("", outcome, DeathReason::kTimeLimit, now);
+        RecordDeath(
+            "", outcome,
+            expired ? DeathReason::kTimeLimit : DeathReason::kFailedRuns, now);
       }
     }
   }
@@ -381,20 +417,18 @@
 
 void StoreService::Tick(TimePoint now) {
   group_->Tick(now);
-  if (group_->leads() && !was_leader_) {
-    scheduler_.StartLeading(now);
-    recording_.clear();
-  }
-  was_leader_ = group_->leads();
-  if (!was_leader_) {
+  if (!group_->leads()) {
     return;
   }
-  scheduler_.Tick(now);
   if (now >= maintain_at_) {
     maintain_at_ = now + kMaintainInterval;
     group_->MaintainMembership(candidates_, retiring_hosts_, now);
   }
-  if (now >= expire_at_ && group_->IsConfirmedLeader(now)) {
+  if (!ConfirmLeadership(now)) {
+    return;
+  }
+  scheduler_.Tick(now);
+  if (now >= expire_at_) {
     expire_at_ = now + kExpireInterval;
     ExpireJobs(now);
   }
--- a/src/jobs/store_service.h
+++ b/src/jobs/store_service.h
@@ -68,6 +68,16 @@
                     proto::StoreCommand::ItemDone result, TimePoint now);
   void RecordDeath(const std::string& front, const proto::ItemOutcome& outcome,
                    DeathReason reason, TimePoint now);
+  // Counts a failed run, and records the item's death if it was the last that
+  // the job allows.
+  void CountFailure(const std::string& front, const proto::ItemOutcome& outcome,
+                    TimePoint now);
+  void OnFailureCounted(const std::string& front,
+                        const proto::ItemOutcome& outcome,
+                        const Status& counted, TimePoint now);
+  // Returns whether this host may act as the group's leader. Begins to lead
+  // when it has become the leader since the last call.
+  bool ConfirmLeadership(TimePoint now);
   void AcknowledgeOutcome(const std::string& to, const proto::ItemName& name);
   void ExpireJobs(TimePoint now);
 
@@ -81,7 +91,9 @@
   // True once a confirmed heartbeat reply has named the group's initial
   // members.
   bool knows_initial_members_ = false;
-  bool was_leader_ = false;
+  // The term in which this host began to lead last.
+  uint64_t leading_term_ = 0;
+  // Items of which a result or a failure is being recorded.
   std::set<ItemKey> recording_;
   TimePoint maintain_at_;
   TimePoint expire_at_;
--- a/test/correctness/jobs_test.cc
+++ b/test/correctness/jobs_test.cc
@@ -47,6 +47,14 @@
   return command.SerializeAsString();
 }
 
+std::string Failed(const proto::ItemName& run) {
+  proto::StoreCommand command;
+  command.mutable_failed()->set_job(run.job());
+  command.mutable_failed()->set_item(run.item());
+  command.mutable_failed()->set_attempt(run.attempt());
+  return command.SerializeAsString();
+}
+
 TEST(JobTable, ResubmittingAJobHasNoEffect) {
   JobTable table;
   EXPECT_TRUE(table.Apply(Submit(Job("j", 2))).has_value());
@@ -127,7 +135,7 @@
 
 class ItemSchedulerTest : public ::testing::Test {
  protected:
-  void SetUp() override { scheduler_.StartLeading(At(0)); }
+  void SetUp() override { scheduler_.StartLeading(1, At(0)); }
   proto::ItemOffers Report(const std::string& front, TimePoint now,
                            uint32_t free_slots,
                            const std::vector<proto::ItemName>& in_hand = {},
@@ -316,29 +324,22 @@
   EXPECT_GT(second.offers(0).attempt(), first.offers(0).attempt());
 }
 
-// An item that fails on every run fails permanently after its last attempt.
+// An item that fails on every run is not offered after its last attempt.
 TEST_F(ItemSchedulerTest, AnItemThatAlwaysFailsEndsAfterItsAttempts) {
   Accept(Job("j", 1));
   int64_t now = 800;
-  uint32_t failures = 0;
-  for (int run = 1;; ++run) {
-    ASSERT_LE(run, 3);
+  for (int run = 1; run <= 3; ++run) {
     const auto offers = Report("f1", At(now), 1);
-    ASSERT_EQ(offers.offers_size(), 1);
+    ASSERT_EQ(offers.offers_size(), 1) << run;
+    EXPECT_FALSE(table_.Find("j")->IsSpent(table_.Find("j")->items[0]));
     proto::ItemOutcome outcome;
     *outcome.mutable_name() = NameOf(offers.offers(0));
-    if (scheduler_.OnFailed("f1", outcome, At(now)) ==
-        ItemScheduler::FailureAction::kFailPermanently) {
-      EXPECT_EQ(run, 3);
-      break;
-    }
-    proto::StoreCommand command;
-    command.mutable_failed()->set_job("j");
-    command.mutable_failed()->set_item("j-0");
-    command.mutable_failed()->set_failures(++failures);
-    ASSERT_TRUE(table_.Apply(command.SerializeAsString()).has_value());
+    ASSERT_TRUE(table_.Apply(Failed(outcome.name())).has_value());
+    scheduler_.OnFailed("f1", outcome, At(now));
     now += 400;
   }
+  EXPECT_TRUE(table_.Find("j")->IsSpent(table_.Find("j")->items[0]));
+  EXPECT_EQ(Report("f1", At(now), 1).offers_size(), 0);
 }
 
 // The acknowledgement of a failure is lost and the front sends it again. It
@@ -349,17 +350,39 @@
   ASSERT_EQ(offers.offers_size(), 1);
   proto::ItemOutcome outcome;
   *outcome.mutable_name() = NameOf(offers.offers(0));
-  EXPECT_EQ(scheduler_.OnFailed("f1", outcome, At(810)),
-            ItemScheduler::FailureAction::kRetry);
-  EXPECT_EQ(scheduler_.OnFailed("f1", outcome, At(820)),
-            ItemScheduler::FailureAction::kIgnore);
+  const std::string failed = Failed(outcome.name());
+  EXPECT_TRUE(table_.Apply(failed).has_value());
+  scheduler_.OnFailed("f1", outcome, At(810));
+  EXPECT_EQ(table_.Apply(failed).error().code, ErrorCode::kConflict);
+  // The front's report makes the failed run neither current nor stops it.
+  EXPECT_EQ(Report("f1", At(820), 0, {outcome.name()}).stop_size(), 0);
+  EXPECT_EQ(scheduler_.running(), 0U);
   // Nor does a late failure of an earlier run count against the next one.
   const auto again = Report("f1", At(1'200), 1);
   ASSERT_EQ(again.offers_size(), 1);
-  EXPECT_EQ(scheduler_.OnFailed("f1", outcome, At(1'210)),
-            ItemScheduler::FailureAction::kIgnore);
-  EXPECT_EQ(scheduler_.OnFailed("f2", outcome, At(1'210)),
-            ItemScheduler::FailureAction::kIgnore);
+  EXPECT_EQ(table_.Apply(failed).error().code, ErrorCode::kConflict);
+  scheduler_.OnFailed("f1", outcome, At(1'210));
+  scheduler_.OnFailed("f2", outcome, At(1'210));
+  EXPECT_EQ(scheduler_.running(), 1U);
+  EXPECT_EQ(table_.Find("j")->items[0].failures, 1U);
+  // The count and the runs that it covers are part of the saved state.
+  JobTable loaded;
+  fakes::CopyState(table_, loaded);
+  EXPECT_EQ(loaded.Apply(failed).error().code, ErrorCode::kConflict);
+  EXPECT_EQ(loaded.Find("j")->items[0].failures, 1U);
+}
+
+// Logs written by earlier versions count failures without naming the runs.
+TEST(JobTable, AFailureThatNamesNoRunSetsTheCount) {
+  JobTable table;
+  ASSERT_TRUE(table.Apply(Submit(Job("j", 1))).has_value());
+  proto::StoreCommand command;
+  command.mutable_failed()->set_job("j");
+  command.mutable_failed()->set_item("j-0");
+  command.mutable_failed()->set_failures(2);
+  ASSERT_TRUE(table.Apply(command.SerializeAsString()).has_value());
+  ASSERT_TRUE(table.Apply(command.SerializeAsString()).has_value());
+  EXPECT_EQ(table.Find("j")->items[0].failures, 2U);
 }
 
 TEST_F(ItemSchedulerTest, AnEndedJobStops) {
