Measure the time limits of jobs by a clock that the store group commits

Cause: the age of a job was the wall clock of the present leader less that of the leader that had accepted it, with a margin of 8 s. Wall clocks differ between hosts and are stepped by any amount. The class: two readings of different clocks are subtracted.

Ruled out: steps within the margin; clocks of fronts, which decide nothing here.

Change: the leader continues the group's clock (job_clock.h) from its last committed value by the time that passes on a clock that only moves forward, and every command carries it. The clock may be late by the changes of the leader and is never ahead, so the margin is gone. Due times and the time for which results are kept use the same clock. Jobs of earlier versions age from the first start of this one.

Tests of jobs_test that set wall clocks set the group's clock instead, with the same times.

--- a/src/jobs/item_scheduler.cc
+++ b/src/jobs/item_scheduler.cc
@@ -105,8 +105,8 @@
   }
 }
 
-int64_t ItemScheduler::DueAt(const JobState& job) {
-  return job.job.accepted_unix_ms() + job.job.due_ms();
+int64_t ItemScheduler::DueAtMs(const JobState& job) {
+  return job.job.accepted_clock_ms() + job.job.due_ms();
 }
 
 Duration ItemScheduler::TimeNeeded(const Key& key) const {
@@ -130,7 +130,7 @@
 std::vector<ItemScheduler::Candidate> ItemScheduler::WaitingByPriority(
     uint64_t catalog_version, TimePoint now) const {
   std::vector<Candidate> waiting;
-  const int64_t unix_now = UnixMs();
+  const int64_t clock_ms = clock_.NowMs(now);
   for (const auto& [id, job] : jobs_.jobs()) {
     if (!job.open() || job.job.catalog_version() > catalog_version) {
       continue;
@@ -143,15 +143,16 @@
           IsQuarantined(item)) {
         continue;
       }
-      const milliseconds due_left(DueAt(job) - unix_now);
-      waiting.push_back({&job, &item, due_left >= TimeNeeded(key), DueAt(job)});
+      const milliseconds due_left(DueAtMs(job) - clock_ms);
+      waiting.push_back(
+          {&job, &item, due_left >= TimeNeeded(key), DueAtMs(job)});
     }
   }
   std::stable_sort(waiting.begin(), waiting.end(),
                    [](const Candidate& a, const Candidate& b) {
                      return a.can_meet_deadline != b.can_meet_deadline
                                 ? a.can_meet_deadline
-                                : a.due_at < b.due_at;
+                                : a.due_at_ms < b.due_at_ms;
                    });
   return waiting;
 }
@@ -199,7 +200,7 @@
   offer.set_account(next.job->job.account());
   offer.set_route_host(next.job->job.route_host());
   *offer.mutable_item() = *next.item->item;
-  offer.set_due_left_ms(next.due_at - UnixMs());
+  offer.set_due_left_ms(next.due_at_ms - clock_.NowMs(now));
   offer.set_attempt(next_attempt_++);
   offer.set_catalog_version(next.job->job.catalog_version());
   const auto progress = progress_.find(key);
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -41,12 +41,12 @@
   return tokens;
 }
 
-std::vector<std::string> JobTable::ClosedJobsToDrop(int64_t unix_now,
+std::vector<std::string> JobTable::ClosedJobsToDrop(int64_t clock_ms,
                                                     size_t most) const {
   std::vector<std::string> ids;
   for (const auto& [id, job] : jobs_) {
-    const int64_t kept_until = job.job.accepted_unix_ms() + job.job.keep_ms();
-    if (!job.open() && unix_now > kept_until && ids.size() < most) {
+    const int64_t kept_until = job.job.accepted_clock_ms() + job.job.keep_ms();
+    if (!job.open() && clock_ms > kept_until && ids.size() < most) {
       ids.push_back(id);
     }
   }
@@ -88,6 +88,7 @@
     job.items.push_back(std::move(item_state));
   }
   job.job.clear_items();
+  job.job.set_accepted_clock_ms(clock_ms_);
   Index(job);
   LogInfo("job_accepted", {{"job", record.id()},
                            {"account", record.account()},
@@ -150,7 +151,10 @@
   if (!parsed.ParseFromString(command)) {
     return Fail(ErrorCode::kCorrupt, "a command in the log cannot be parsed");
   }
+  clock_ms_ = std::max(clock_ms_, parsed.clock_ms());
   switch (parsed.kind_case()) {
+    case proto::StoreCommand::KIND_NOT_SET:
+      return {};
     case proto::StoreCommand::kSubmit:
       return Submit(parsed.submit());
     case proto::StoreCommand::kDone:
@@ -187,12 +191,19 @@
   for (const auto& [id, job] : jobs_) {
     frozen->push_back({job.job, job.items, job.result_order, job.ended});
   }
-  return [frozen, next = size_t{0}]() mutable -> std::optional<std::string> {
-    if (next == frozen->size()) {
+  return [frozen, clock_ms = clock_ms_,
+          next = size_t{0}]() mutable -> std::optional<std::string> {
+    proto::StoredJob stored;
+    stored.set_clock_ms(clock_ms);
+    if (frozen->empty() && next == 0) {
+      // Without any job, one part has only the clock.
+      ++next;
+      return stored.SerializeAsString();
+    }
+    if (next >= frozen->size()) {
       return std::nullopt;
     }
     const FrozenJob& job = (*frozen)[next++];
-    proto::StoredJob stored;
     *stored.mutable_job() = job.job;
     stored.set_ended(job.ended);
     for (const uint32_t index : job.result_order) {
@@ -217,6 +228,10 @@
   if (!stored.ParseFromString(part)) {
     return Fail(ErrorCode::kCorrupt, "a job in a snapshot cannot be parsed");
   }
+  clock_ms_ = std::max(clock_ms_, stored.clock_ms());
+  if (!stored.has_job()) {
+    return {};
+  }
   JobState& job = jobs_[stored.job().id()];
   job.job = stored.job();
   job.ended = stored.ended();
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -60,20 +60,25 @@
 class JobTable : public GroupState {
  public:
   Status Apply(const std::string& command) override;
-  // Each part of the saved state is one job.
+  // Each part of the saved state is one job with the clock.
   StateParts Save() const override;
-  void Clear() override { jobs_.clear(); }
+  void Clear() override {
+    jobs_.clear();
+    clock_ms_ = 0;
+  }
   Status LoadPart(const std::string& part) override;
 
   const JobState* Find(const std::string& id) const;
   const std::map<std::string, JobState>& jobs() const { return jobs_; }
+  // The last committed value of the group's clock.
+  int64_t clock_ms() const { return clock_ms_; }
 
   // Returns the tokens of an account's unfinished items on a route.
   uint64_t WaitingTokens(const std::string& account,
                          const std::string& route_host) const;
 
   // Returns at most `most` closed jobs whose results no longer need to be kept.
-  std::vector<std::string> ClosedJobsToDrop(int64_t unix_now,
+  std::vector<std::string> ClosedJobsToDrop(int64_t clock_ms,
                                             size_t most) const;
 
  private:
@@ -84,6 +89,7 @@
   static void Index(JobState& job);
 
   std::map<std::string, JobState> jobs_;
+  int64_t clock_ms_ = 0;
 };
 
 }  // namespace sequoialb
--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -18,9 +18,9 @@
 constexpr size_t kMaxDropsAtOnce = 64;
 // A read returns at most about this many bytes of results.
 constexpr size_t kMaxReadBytes = 900'000;
-// Wall clocks differ between hosts and step by seconds, so time limits that
-// are compared with them are extended by this much.
-constexpr int64_t kClockMarginMs = 8'000;
+// How often the leader commits the group's clock while there are jobs. A new
+// leader may lose this much of the time.
+constexpr milliseconds kClockCommitInterval{2'000};
 
 std::string_view ReasonName(DeathReason reason) {
   constexpr std::array<std::string_view, 3> kNames = {
@@ -121,6 +121,7 @@
   }
   if (group_->term() != leading_term_) {
     leading_term_ = group_->term();
+    clock_.Start(jobs_.clock_ms(), now);
     scheduler_.StartLeading(leading_term_, now);
     recording_.clear();
   }
@@ -175,19 +176,18 @@
     command.set_end_job(call.end_job());
   }
   const bool submit = call.has_submit();
-  group_->Propose(
-      command.SerializeAsString(), now,
-      [this, from, submit, number = call.call()](const Status& outcome) {
-        proto::JobAnswer answer;
-        answer.set_call(number);
-        if (!outcome) {
-          SetError(answer, outcome.error());
-        }
-        if (submit) {
-          (outcome ? accepted_ : refused_).Add();
-        }
-        Answer(from, std::move(answer));
-      });
+  Propose(command, now,
+          [this, from, submit, number = call.call()](const Status& outcome) {
+            proto::JobAnswer answer;
+            answer.set_call(number);
+            if (!outcome) {
+              SetError(answer, outcome.error());
+            }
+            if (submit) {
+              (outcome ? accepted_ : refused_).Add();
+            }
+            Answer(from, std::move(answer));
+          });
 }
 
 void StoreService::ReadResults(const proto::JobCall& call,
@@ -303,11 +303,11 @@
   failed.set_failures(jobs_.Find(name.job())->FindItem(name.item())->failures +
                       1);
   recording_.insert(key);
-  group_->Propose(command.SerializeAsString(), now,
-                  [this, front, outcome, key, now](const Status& counted) {
-                    recording_.erase(key);
-                    OnFailureCounted(front, outcome, counted, now);
-                  });
+  Propose(command, now,
+          [this, front, outcome, key, now](const Status& counted) {
+            recording_.erase(key);
+            OnFailureCounted(front, outcome, counted, now);
+          });
 }
 
 void StoreService::OnFailureCounted(const std::string& front,
@@ -352,7 +352,7 @@
            {"backend", outcome.backend()},
            {"status", std::to_string(outcome.status())},
            {"accepted_ms_ago",
-            std::to_string(UnixMs() - job->job.accepted_unix_ms())}});
+            std::to_string(clock_.NowMs(now) - job->job.accepted_clock_ms())}});
   proto::StoreCommand::ItemDone result;
   result.set_dead(true);
   RecordResult(front, name, std::move(result), now);
@@ -368,37 +368,42 @@
   *command.mutable_done() = std::move(result);
   const ItemKey key{name.job(), name.item()};
   recording_.insert(key);
-  group_->Propose(command.SerializeAsString(), now,
-                  [this, front, name, key](const Status& outcome) {
-                    recording_.erase(key);
-                    if (!outcome) {
-                      return;
-                    }
-                    recorded_.Add();
-                    scheduler_.Remove(name.job(), name.item());
-                    if (!front.empty()) {
-                      AcknowledgeOutcome(front, name);
-                    }
-                  });
+  Propose(command, now, [this, front, name, key](const Status& outcome) {
+    recording_.erase(key);
+    if (!outcome) {
+      return;
+    }
+    recorded_.Add();
+    scheduler_.Remove(name.job(), name.item());
+    if (!front.empty()) {
+      AcknowledgeOutcome(front, name);
+    }
+  });
+}
+
+void StoreService::Propose(proto::StoreCommand& command, TimePoint now,
+                           ConsensusGroup::DoneCallback done) {
+  command.set_clock_ms(clock_.NowMs(now));
+  group_->Propose(command.SerializeAsString(), now, std::move(done));
 }
 
 // Records items as permanently failed once the time limit of their submission
 // has passed, and drops closed jobs whose results are no longer retained.
 void StoreService::ExpireJobs(TimePoint now) {
-  const int64_t unix_now = UnixMs();
+  const int64_t clock_ms = clock_.NowMs(now);
   for (const std::string& id :
-       jobs_.ClosedJobsToDrop(unix_now - kClockMarginMs, kMaxDropsAtOnce)) {
+       jobs_.ClosedJobsToDrop(clock_ms, kMaxDropsAtOnce)) {
     proto::StoreCommand command;
     command.set_drop_job(id);
-    group_->Propose(command.SerializeAsString(), now, [](const Status&) {});
+    Propose(command, now, [](const Status&) {});
   }
   for (const auto& [id, job] : jobs_.jobs()) {
     if (!job.open()) {
       continue;
     }
-    const int64_t age = unix_now - job.job.accepted_unix_ms();
-    const bool expired = job.job.give_up_ms() != 0 &&
-                         age > job.job.give_up_ms() + kClockMarginMs;
+    const int64_t age = clock_ms - job.job.accepted_clock_ms();
+    const bool expired =
+        job.job.give_up_ms() != 0 && age > job.job.give_up_ms();
     for (const JobItemState& item : job.items) {
       // An earlier leader may have counted the last failure without recording
       // the item's death.
@@ -432,6 +437,11 @@
     expire_at_ = now + kExpireInterval;
     ExpireJobs(now);
   }
+  if (now >= commit_clock_at_ && !jobs_.jobs().empty()) {
+    commit_clock_at_ = now + kClockCommitInterval;
+    proto::StoreCommand command;
+    Propose(command, now, [](const Status&) {});
+  }
 }
 
 void StoreService::Flush(TimePoint now) { group_->Flush(now); }
--- a/src/jobs/store_service.h
+++ b/src/jobs/store_service.h
@@ -79,12 +79,16 @@
   // when it has become the leader since the last call.
   bool ConfirmLeadership(TimePoint now);
   void AcknowledgeOutcome(const std::string& to, const proto::ItemName& name);
+  // Proposes a command with the present value of the group's clock.
+  void Propose(proto::StoreCommand& command, TimePoint now,
+               ConsensusGroup::DoneCallback done);
   void ExpireJobs(TimePoint now);
 
   const proto::HostInfo self_;
   HostLinks& links_;
   JobTable jobs_;
-  ItemScheduler scheduler_{jobs_};
+  JobClock clock_;
+  ItemScheduler scheduler_{jobs_, clock_};
   std::unique_ptr<ConsensusGroup> group_;
   std::map<std::string, GroupCandidate> candidates_;
   std::set<std::string> retiring_hosts_;
@@ -97,6 +101,7 @@
   std::set<ItemKey> recording_;
   TimePoint maintain_at_;
   TimePoint expire_at_;
+  TimePoint commit_clock_at_;
   Counter& accepted_;
   Counter& refused_;
   Counter& recorded_;
--- a/test/correctness/jobs_test.cc
+++ b/test/correctness/jobs_test.cc
@@ -31,8 +31,9 @@
   return job;
 }
 
-std::string Submit(const proto::JobRecord& job) {
+std::string Submit(const proto::JobRecord& job, int64_t clock_ms = 0) {
   proto::StoreCommand command;
+  command.set_clock_ms(clock_ms);
   *command.mutable_submit() = job;
   return command.SerializeAsString();
 }
@@ -104,9 +105,8 @@
   for (int i = 0; i < 20; ++i) {
     proto::JobRecord job = Job("j" + std::to_string(i), 1);
     job.set_token_cap(0);
-    job.set_accepted_unix_ms(1'000);
     job.set_keep_ms(500);
-    ASSERT_TRUE(table.Apply(Submit(job)).has_value());
+    ASSERT_TRUE(table.Apply(Submit(job, 1'000)).has_value());
   }
   EXPECT_TRUE(table.ClosedJobsToDrop(5'000, 64).empty()) << "all are open";
   for (int i = 0; i < 15; ++i) {
@@ -135,7 +135,10 @@
 
 class ItemSchedulerTest : public ::testing::Test {
  protected:
-  void SetUp() override { scheduler_.StartLeading(1, At(0)); }
+  void SetUp() override {
+    clock_.Start(0, At(0));
+    scheduler_.StartLeading(1, At(0));
+  }
   proto::ItemOffers Report(const std::string& front, TimePoint now,
                            uint32_t free_slots,
                            const std::vector<proto::ItemName>& in_hand = {},
@@ -164,7 +167,8 @@
   }
 
   JobTable table_;
-  ItemScheduler scheduler_{table_};
+  JobClock clock_;
+  ItemScheduler scheduler_{table_, clock_};
 };
 
 TEST_F(ItemSchedulerTest, QuarantinedItemsWait) {
@@ -276,10 +280,8 @@
   scheduler_.Remove("finished", "finished-0");
   proto::JobRecord too_late = Job("late", 1, 10, 3'000);
   proto::JobRecord on_time = Job("on-time", 1, 10, 12'000);
-  too_late.set_accepted_unix_ms(UnixMs());
-  on_time.set_accepted_unix_ms(UnixMs());
-  Accept(too_late);
-  Accept(on_time);
+  ASSERT_TRUE(table_.Apply(Submit(too_late, 6'000)).has_value());
+  ASSERT_TRUE(table_.Apply(Submit(on_time, 6'000)).has_value());
   const auto offers = Report("f1", At(6'000), 2);
   ASSERT_EQ(offers.offers_size(), 2);
   EXPECT_EQ(offers.offers(0).job(), "on-time");
@@ -372,6 +374,39 @@
   EXPECT_EQ(loaded.Find("j")->items[0].failures, 1U);
 }
 
+// Guards against time limits that a wall clock or a change of the leader
+// shortens: the group's clock neither goes back nor counts time twice.
+TEST(JobClockTest, ContinuesFromTheCommittedValue) {
+  JobTable table;
+  JobClock first;
+  first.Start(table.clock_ms(), At(0));
+  ASSERT_TRUE(
+      table.Apply(Submit(Job("j", 1), first.NowMs(At(5'000)))).has_value());
+  EXPECT_EQ(table.Find("j")->job.accepted_clock_ms(), 5'000);
+  // The next leader takes over 20 s later and has a steady clock of its own.
+  JobClock second;
+  second.Start(table.clock_ms(), At(90'000));
+  EXPECT_EQ(second.NowMs(At(90'000)), 5'000);
+  EXPECT_EQ(second.NowMs(At(91'000)), 6'000);
+  // An older command that arrives later does not set the clock back.
+  proto::StoreCommand late;
+  late.set_clock_ms(4'000);
+  ASSERT_TRUE(table.Apply(late.SerializeAsString()).has_value());
+  EXPECT_EQ(table.clock_ms(), 5'000);
+  JobTable loaded;
+  fakes::CopyState(table, loaded);
+  EXPECT_EQ(loaded.clock_ms(), 5'000);
+  EXPECT_EQ(loaded.Find("j")->job.accepted_clock_ms(), 5'000);
+  // A state without jobs keeps the clock: a member that lost it would accept
+  // the next job at an earlier time than the others.
+  proto::StoreCommand drop;
+  drop.set_drop_job("j");
+  ASSERT_TRUE(table.Apply(drop.SerializeAsString()).has_value());
+  fakes::CopyState(table, loaded);
+  EXPECT_TRUE(loaded.jobs().empty());
+  EXPECT_EQ(loaded.clock_ms(), 5'000);
+}
+
 // Logs written by earlier versions count failures without naming the runs.
 TEST(JobTable, AFailureThatNamesNoRunSetsTheCount) {
   JobTable table;
