Send a request again on a connection that has not carried it

Cause: a server that answers twice, the second time late, writes the second copy where the next answer on the connection is expected. All runs of an item have the same request id, which is what tells answers apart, so the copy passed for the answer to the next run. An answer without an id passed on a kept connection too.

Ruled out: copies that arrive between two requests (the connection is closed), and those that name another request (skipped).

Change: a connection remembers the requests that it has carried, 256 at most, and carries none twice. An item's run ends without a result when its answer names no request and is not the first on its connection.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -1,7 +1,9 @@
 #include "http/http_client.h"
 
 #include <algorithm>
+#include <vector>
 
+#include "base/hash.h"
 #include "observe/log.h"
 
 namespace sequoialb {
@@ -16,6 +18,9 @@
 // Longest time for which an idle connection is kept. The server's Keep-Alive
 // timeout can shorten it.
 constexpr milliseconds kMaxIdleTime{10'000};
+// A connection that has carried this many calls is closed, so that the calls
+// that it remembers are all that it has carried.
+constexpr size_t kMaxCallsPerConnection = 256;
 // Fraction of the server's Keep-Alive timeout for which a connection is kept.
 constexpr double kIdleTimeoutFraction = 0.7;
 
@@ -52,11 +57,19 @@
 
   const std::string& address() const { return address_; }
 
+  // Returns whether a request with this id has been sent on the connection.
+  // Requests without an id, such as health checks, are not told apart.
+  bool HasCarried(const std::string& request_id) const {
+    return !request_id.empty() &&
+           std::find(carried_.begin(), carried_.end(), Hash64(request_id)) !=
+               carried_.end();
+  }
+
   void StartCall(CallOptions options, CallEvents events) {
     options_ = std::move(options);
     events_ = std::move(events);
     active_ = true;
-    ++calls_;
+    carried_.push_back(Hash64(options_.request_id));
     mismatched_ = false;
     skipped_bytes_ = 0;
     head_.reset();
@@ -141,7 +154,7 @@
     }
     const std::string* echo = head->headers.Find(options_.request_id_header);
     mismatched_ = echo != nullptr && *echo != options_.request_id;
-    head->attributed = echo != nullptr || calls_ == 1;
+    head->attributed = echo != nullptr || carried_.size() == 1;
     decoder_.emplace(head->framing, head->length);
     head_ = std::move(*head);
     if (mismatched_) {
@@ -203,6 +216,7 @@
     }
     active_ = false;
     const bool reusable = head_->keep_alive && !not_reusable_ &&
+                          carried_.size() < kMaxCallsPerConnection &&
                           stream_.unsent() == 0 && stream_.input().empty();
     const auto complete = std::move(events_.on_complete);
     events_ = {};
@@ -262,8 +276,8 @@
   std::optional<ResponseHead> head_;
   std::optional<BodyDecoder> decoder_;
   bool active_ = false;
-  // Calls that this connection has been used for.
-  uint64_t calls_ = 0;
+  // Hashes of the ids of the requests that were sent on this connection.
+  std::vector<uint64_t> carried_;
   // The response being read belongs to another request.
   bool mismatched_ = false;
   size_t skipped_bytes_ = 0;
@@ -299,9 +313,16 @@
     idle.pop_front();
   }
   std::shared_ptr<ClientConnection> connection;
-  if (!idle.empty() && idle.back().since + options.max_idle > loop_.now()) {
-    connection = std::move(idle.back().connection);
-    idle.pop_back();
+  // The connection that was used last is the least likely to be closed.
+  const auto usable = std::find_if(
+      idle.rbegin(), idle.rend(), [&](const IdleConnection& entry) {
+        return entry.since + options.max_idle > loop_.now() &&
+               entry.expires > loop_.now() &&
+               !entry.connection->HasCarried(options.request_id);
+      });
+  if (usable != idle.rend()) {
+    connection = std::move(usable->connection);
+    idle.erase(std::next(usable).base());
     reused_.Add();
   } else {
     connection = std::make_shared<ClientConnection>(*this, address);
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -5,7 +5,9 @@
 // framing marked the end of the response, no bytes followed it, and the server
 // did not ask to close. A response that names another request, such as a late
 // second response to an earlier one, is read and discarded, and its connection
-// is not reused.
+// is not reused. A request that is sent again goes on a connection that has not
+// carried it before, where a late response to its first run cannot be taken for
+// the response to the second.
 #pragma once
 
 #include <deque>
@@ -44,7 +46,8 @@
   bool head_request = false;
   // A response with the field `request_id_header` must have `request_id` in it;
   // otherwise it answers another request and is discarded. A response without
-  // the field is accepted.
+  // the field is accepted; ResponseHead::attributed tells whether it belongs to
+  // the call for certain.
   std::string request_id_header;
   std::string request_id;
   // Only connections idle for less than this are reused. A request that may run
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -201,6 +201,17 @@
   const TimePoint now = front_.loop.now();
   run.end_marked = head.framing != BodyFraming::kUntilClose;
   run.status = head.status;
+  if (!head.attributed) {
+    // It may answer an earlier request on this connection.
+    LogWarn("item_answer_unattributed",
+            {{"job", run.offer.job()},
+             {"item", run.offer.item().id()},
+             {"backend", run.backend},
+             {"status", std::to_string(head.status)}});
+    front_.pool.RecordFailure(run.backend, now);
+    End(run, proto::ItemOutcome::kReturned);
+    return;
+  }
   const BackendAnswer answer = front_.protocol.DecodeAnswer(head);
   front_.RecordServerState(run.backend, answer);
   if (answer.other_server) {
