Forward an answer on a kept connection only if it names its request

Callers could see: the body, status and stamp of an answer to another caller's request (MIXED), when a server that answers twice leaves the request id out of the second copy.

Cause: the same class as the late second 500 of a batch item. HttpClient tells whether an answer belongs to its call for certain, and the gateway looked at that for refusals only. Any answer without an id on a kept connection counts as broken now; the first answer on a connection needs no id.

Ruled out: answers that name another request (skipped before), bytes between requests (the connection is closed).

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -423,17 +423,18 @@
 void Gateway::OnHead(Request& request, const ResponseHead& head) {
   const TimePoint now = front_.loop.now();
   request.end_marked = head.framing != BodyFraming::kUntilClose;
+  if (!head.attributed) {
+    // It may answer an earlier request on this connection.
+    LogWarn("answer_unattributed", {{"request", request.caller.id},
+                                    {"backend", request.backend},
+                                    {"status", std::to_string(head.status)}});
+    OnFailure(request, CallFailure::kBroken);
+    return;
+  }
   const BackendAnswer answer = front_.protocol.DecodeAnswer(head);
   front_.RecordServerState(request.backend, answer);
   if (answer.not_run || answer.other_server) {
     const std::string backend = request.backend;
-    if (!head.attributed) {
-      // It may be the refusal of an earlier request on this connection.
-      LogWarn("refusal_unattributed",
-              {{"request", request.caller.id}, {"backend", backend}});
-      OnFailure(request, CallFailure::kBroken);
-      return;
-    }
     request.may_have_run = request.may_have_run_before;
     request.avoid.insert(backend);
     if (answer.other_server) {
--- a/test/correctness/gateway_test.cc
+++ b/test/correctness/gateway_test.cc
@@ -280,6 +280,18 @@
   }
 }
 
+// Guards against an answer to an earlier request that reaches the next caller:
+// without an id, it cannot be told from the answer to that caller's request.
+TEST_F(RepeatedRefusalTest, AnAnswerWithoutARequestIdIsNotForwarded) {
+  for (const char* status : {"200 OK", "404 Not Found", "500 Failed"}) {
+    const std::string answer =
+        AnswerAfter("HTTP/1.1 " + std::string(status) +
+                    "\r\nResponse-Stamp: q1\r\nContent-Length: 2\r\n\r\nq1");
+    EXPECT_EQ(StatusOf(answer), 502) << answer;
+    EXPECT_EQ(answer.find("Response-Stamp"), std::string::npos) << answer;
+  }
+}
+
 constexpr char kLeavingResponse[] =
     "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nResponse-Stamp: s\r\n"
     "Server-Leaving: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
