Let only an answer that names the item's request decide about the item

Servers name the request in all their answers, so one that does not says nothing about this run; the item is returned and runs again.

--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -201,8 +201,8 @@
   const TimePoint now = front_.loop.now();
   run.end_marked = head.framing != BodyFraming::kUntilClose;
   run.status = head.status;
-  if (!head.attributed) {
-    // It may answer an earlier request on this connection.
+  if (head.headers.Find(front_.protocol.request_id_header()) == nullptr) {
+    // Nothing says that it answers this run.
     LogWarn("item_answer_unattributed",
             {{"job", run.offer.job()},
              {"item", run.offer.item().id()},
--- a/test/correctness/item_runner_test.cc
+++ b/test/correctness/item_runner_test.cc
@@ -29,6 +29,8 @@
     thread_.Run([&] {
       front_ =
           std::make_unique<FrontShared>(thread_.loop(), metrics_, adapter_);
+      closed_ = false;
+      outcome_ = {};
       Catalog catalog;
       catalog.version = 1;
       Route route;
@@ -50,7 +52,9 @@
     });
   }
 
-  void TearDown() override {
+  void TearDown() override { Close(); }
+
+  void Close() {
     thread_.Run([this] {
       closed_ = true;
       runner_.reset();
@@ -196,6 +200,23 @@
   EXPECT_EQ(RunItem().kind(), proto::ItemOutcome::kFailed);
 }
 
+// Guards against a failure that counts although nothing says that it answers
+// this item: servers name the request in all their answers.
+TEST_F(ItemRunnerTest, AnAnswerThatNamesNoRequestDecidesNothing) {
+  for (const char* status : {"500 Failed", "422 Never", "200 OK"}) {
+    RawServer server([&](Poco::Net::StreamSocket& socket, int) {
+      RawServer::ReadRequest(socket);
+      RawServer::Write(socket, "HTTP/1.1 " + std::string(status) +
+                                   "\r\nContent-Type: text/event-stream\r\n"
+                                   "Content-Length: 18\r\n\r\n"
+                                   "id: 5\ndata: five\n\n");
+    });
+    Open(server.address());
+    ExpectReturnedUnchanged(RunItem());
+    Close();
+  }
+}
+
 TEST_F(ItemRunnerTest, AResumedItemCompletes) {
   RawServer server([](Poco::Net::StreamSocket& socket, int) {
     const std::string request = RawServer::ReadRequest(socket);
