--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -146,12 +146,26 @@
   return {};
 }
 
+void JobTable::AdvanceClock(int64_t clock_ms) {
+  clock_ms_ = std::max(clock_ms_, clock_ms);
+  if (clock_ms == 0) {
+    return;
+  }
+  for (const std::string& id : undated_) {
+    const auto found = jobs_.find(id);
+    if (found != jobs_.end()) {
+      found->second.job.set_accepted_clock_ms(clock_ms_);
+    }
+  }
+  undated_.clear();
+}
+
 Status JobTable::Apply(const std::string& command) {
   proto::StoreCommand parsed;
   if (!parsed.ParseFromString(command)) {
     return Fail(ErrorCode::kCorrupt, "a command in the log cannot be parsed");
   }
-  clock_ms_ = std::max(clock_ms_, parsed.clock_ms());
+  AdvanceClock(parsed.clock_ms());
   switch (parsed.kind_case()) {
     case proto::StoreCommand::KIND_NOT_SET:
       return {};
@@ -234,6 +248,9 @@
   }
   JobState& job = jobs_[stored.job().id()];
   job.job = stored.job();
+  if (stored.clock_ms() == 0) {
+    undated_.push_back(stored.job().id());
+  }
   job.ended = stored.ended();
   job.result_order.assign(stored.listed_order().begin(),
                           stored.listed_order().end());
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -64,6 +64,7 @@
   StateParts Save() const override;
   void Clear() override {
     jobs_.clear();
+    undated_.clear();
     clock_ms_ = 0;
   }
   Status LoadPart(const std::string& part) override;
@@ -83,6 +84,7 @@
 
  private:
   Status Submit(const proto::JobRecord& record);
+  void AdvanceClock(int64_t clock_ms);
   void RecordResult(const proto::StoreCommand::ItemDone& done);
   // Fails with kConflict when the run has been counted before.
   Status CountFailure(const proto::StoreCommand::ItemFailed& failed);
@@ -90,6 +92,9 @@
 
   std::map<std::string, JobState> jobs_;
   int64_t clock_ms_ = 0;
+  // Jobs from the snapshots of earlier versions, which have no clock. They age
+  // from the next command that has one.
+  std::vector<std::string> undated_;
 };
 
 }  // namespace sequoialb
--- a/test/correctness/dead_items_test.cc
+++ b/test/correctness/dead_items_test.cc
@@ -158,6 +158,34 @@
   EXPECT_TRUE(Dead());
 }
 
+// Guards against items that are given up at once because a snapshot of an
+// earlier version does not say when their job was accepted.
+TEST(DeadItemsClockTest, AJobFromASnapshotWithoutClockHasTheAgeItHadAtMost) {
+  const auto apply = [](JobTable& table, const proto::StoreCommand& command) {
+    ASSERT_TRUE(table.Apply(command.SerializeAsString()));
+  };
+  JobTable table;
+  proto::StoreCommand submit;
+  submit.mutable_submit()->set_id("j");
+  submit.mutable_submit()->set_give_up_ms(kGiveUpMs);
+  submit.mutable_submit()->add_items()->set_id("i");
+  submit.set_clock_ms(100'000);
+  apply(table, submit);
+  // An earlier version keeps no clock.
+  proto::StoredJob stored;
+  ASSERT_TRUE(stored.ParseFromString(table.Save()().value()));
+  stored.clear_clock_ms();
+  stored.mutable_job()->clear_accepted_clock_ms();
+  JobTable loaded;
+  ASSERT_TRUE(loaded.LoadPart(stored.SerializeAsString()));
+  proto::StoreCommand tick;
+  tick.set_clock_ms(102'000);
+  apply(loaded, tick);
+  const int64_t age =
+      loaded.clock_ms() - loaded.Find("j")->job.accepted_clock_ms();
+  EXPECT_LE(age, 2'000);
+}
+
 // Guards against the second copy of an answer, which comes late on a kept
 // connection, being taken for the answer to the next run of the same item.
 TEST(DeadItemsAnswerTest, ALateSecondAnswerIsNotThatOfTheNextRun) {
