--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -28,6 +28,16 @@
   return kNames.at(static_cast<size_t>(reason));
 }
 
+bool HasItemsOfOneId(const proto::JobRecord& job) {
+  std::set<std::string_view> ids;
+  for (const proto::JobItem& item : job.items()) {
+    if (!ids.insert(item.id()).second) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void SetError(proto::JobAnswer& answer, const Error& error) {
   answer.set_error_name(std::string(ErrorName(error.code)));
   answer.set_detail(error.detail);
@@ -159,6 +169,15 @@
 
 void StoreService::ProposeCall(const std::string& from,
                                const proto::JobCall& call, TimePoint now) {
+  if (call.has_submit() && HasItemsOfOneId(call.submit())) {
+    proto::JobAnswer answer;
+    answer.set_call(call.call());
+    SetError(answer, {ErrorCode::kInvalidField,
+                      "Items: two items of the job have the same Id"});
+    refused_.Add();
+    Answer(from, std::move(answer));
+    return;
+  }
   proto::StoreCommand command;
   if (call.has_submit()) {
     *command.mutable_submit() = call.submit();
--- a/test/correctness/dead_items_test.cc
+++ b/test/correctness/dead_items_test.cc
@@ -158,6 +158,16 @@
   EXPECT_TRUE(Dead());
 }
 
+// Guards against an item that is never listed, because a second item with its
+// id hides it.
+TEST_F(DeadItemsTest, AJobWithTwoItemsOfOneIdIsRefused) {
+  host_.StartLeading();
+  proto::JobRecord job = Job();
+  job.add_items()->set_id("i");
+  EXPECT_EQ(host_.Submit("a", job), ErrorName(ErrorCode::kInvalidField));
+  EXPECT_EQ(host_.Read("a", "j").error_name(), ErrorName(ErrorCode::kNotFound));
+}
+
 // Guards against items that are given up at once because a snapshot of an
 // earlier version does not say when their job was accepted.
 TEST(DeadItemsClockTest, AJobFromASnapshotWithoutClockHasTheAgeItHadAtMost) {
