--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -66,6 +66,9 @@
       return Fail(ErrorCode::kConflict,
                   "a job with this id belongs to another account");
     }
+    // The route may have been removed and added again in between.
+    found->second.job.set_catalog_version(std::max(
+        found->second.job.catalog_version(), record.catalog_version()));
     return {};
   }
   uint64_t tokens = 0;
