End an item for its route only when the route stays removed

Cause: any front whose catalog was not older than the job's ended an item that it had no route for. A front that has lost the control hosts acts on its catalog for up to 4.75 s after another has replaced it, and of two operators' changes one may be in force for a moment only.

Ruled out: catalogs older than the job's, catalogs that were not committed.

Change: a front reports the item as without a route, with its catalog. The store leader records its death when a front still reports the same catalog 10 s after the first one did, and nobody a newer one: longer than any front's authority, so the later report has been confirmed since. Until then the job is offered again every 500 ms, and to fronts with a newer catalog at once. A failure that has been counted is acknowledged without another entry in the log.

--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -45,6 +45,8 @@
   bool end_marked = false;
   // The status of the server's answer, or 0.
   int status = 0;
+  // The catalog that has no route for the item, or 0.
+  uint64_t catalog_version = 0;
   // Set when the response status alone decides the outcome.
   std::optional<proto::ItemOutcome::Kind> status_outcome;
 };
@@ -101,7 +103,8 @@
              {"item", run.offer.item().id()},
              {"catalog", std::to_string(catalog.version())},
              {"accepted_by", std::to_string(run.offer.catalog_version())}});
-    End(run, proto::ItemOutcome::kNeverPossible);
+    run.catalog_version = catalog.version();
+    End(run, proto::ItemOutcome::kRouteMissing);
     return true;
   }
   if (const auto* quarantine =
@@ -301,6 +304,7 @@
   outcome.set_last_event(run.last_event.value_or(0));
   outcome.set_backend(run.backend);
   outcome.set_status(static_cast<uint32_t>(run.status));
+  outcome.set_catalog_version(run.catalog_version);
   (kind == proto::ItemOutcome::kComplete ? completed_ : stopped_).Add();
   run.call.reset();
   if (!run.backend.empty()) {
--- a/src/jobs/item_scheduler.cc
+++ b/src/jobs/item_scheduler.cc
@@ -19,6 +19,12 @@
 // Delay before a failed item is offered again, so that it runs on another
 // server.
 constexpr milliseconds kRetryDelay{300};
+// A route has ended when it is missing from the same catalog for this long. A
+// front may act on a catalog that another has replaced for as long as its
+// authority lasts, which is less; what it sends after that has been confirmed.
+constexpr milliseconds kRouteEndTime{10'000};
+// Delay before a job without a route is offered again.
+constexpr milliseconds kMissingRouteDelay{500};
 // Bits of a run's number that count the runs that one leader has offered.
 constexpr unsigned kAttemptBits = 32;
 // Weight of the newest run in the means.
@@ -35,6 +41,7 @@
   progress_.clear();
   not_before_.clear();
   fronts_.clear();
+  missing_routes_.clear();
   no_offers_until_ = now + kReportCollectionTime;
 }
 
@@ -135,6 +142,11 @@
     if (!job.open() || job.job.catalog_version() > catalog_version) {
       continue;
     }
+    const auto missing = missing_routes_.find(id);
+    if (missing != missing_routes_.end() && now < missing->second.retry_at &&
+        catalog_version <= missing->second.catalog_version) {
+      continue;
+    }
     for (const JobItemState& item : job.items) {
       const Key key{id, item.id()};
       const auto paused = not_before_.find(key);
@@ -257,6 +269,22 @@
   }
 }
 
+bool ItemScheduler::OnRouteMissing(const std::string& front,
+                                   const proto::ItemOutcome& outcome,
+                                   TimePoint now) {
+  if (IsCurrent(front, outcome)) {
+    running_.erase({outcome.name().job(), outcome.name().item()});
+  }
+  MissingRoute& missing = missing_routes_[outcome.name().job()];
+  if (outcome.catalog_version() > missing.catalog_version) {
+    missing = {outcome.catalog_version(), now, now};
+  }
+  const bool ended = outcome.catalog_version() == missing.catalog_version &&
+                     now - missing.since >= kRouteEndTime;
+  missing.retry_at = ended ? now : now + kMissingRouteDelay;
+  return ended;
+}
+
 void ItemScheduler::Remove(const std::string& job, const std::string& item) {
   const Key key{job, item};
   running_.erase(key);
@@ -265,6 +293,11 @@
 }
 
 void ItemScheduler::Tick(TimePoint now) {
+  for (auto it = missing_routes_.begin(); it != missing_routes_.end();) {
+    const JobState* job = jobs_.Find(it->first);
+    const bool open = job != nullptr && job->open();
+    it = open ? std::next(it) : missing_routes_.erase(it);
+  }
   for (auto it = fronts_.begin(); it != fronts_.end();) {
     if (now - it->second.reported_at <= kFrontTimeout) {
       ++it;
--- a/src/jobs/item_scheduler.h
+++ b/src/jobs/item_scheduler.h
@@ -58,6 +58,10 @@
   // Ends a failed run, which has been counted, if it is the item's current one.
   void OnFailed(const std::string& front, const proto::ItemOutcome& outcome,
                 TimePoint now);
+  // Ends a run for which its front's catalog has no route, and returns whether
+  // the route of the item's job has ended.
+  bool OnRouteMissing(const std::string& front,
+                      const proto::ItemOutcome& outcome, TimePoint now);
   // Updates the mean run time and event count from a completed item.
   void OnCompleted(const proto::ItemOutcome& outcome, TimePoint now);
   // Drops the state of an item whose result has been recorded.
@@ -88,6 +92,13 @@
     // Total run time of the item's attempts so far.
     Duration run_time{0};
   };
+  // The newest catalog without a job's route, when a front first had it, and
+  // when the job is offered again to fronts with this catalog.
+  struct MissingRoute {
+    uint64_t catalog_version = 0;
+    TimePoint since;
+    TimePoint retry_at;
+  };
   // A waiting item and the values that it is ordered by.
   struct Candidate {
     const JobState* job = nullptr;
@@ -140,6 +151,8 @@
   std::map<Key, Progress> progress_;
   std::map<Key, TimePoint> not_before_;
   std::map<std::string, FrontState> fronts_;
+  // Jobs for whose items a front's catalog had no route, by job.
+  std::map<std::string, MissingRoute> missing_routes_;
   // Exponentially weighted means over recent runs.
   double mean_run_s_ = 0;
   double mean_events_ = 0;
--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -23,8 +23,8 @@
 constexpr milliseconds kClockCommitInterval{2'000};
 
 std::string_view ReasonName(DeathReason reason) {
-  constexpr std::array<std::string_view, 3> kNames = {
-      "never_possible", "failed_runs", "time_limit"};
+  constexpr std::array<std::string_view, 4> kNames = {
+      "never_possible", "route_ended", "failed_runs", "time_limit"};
   return kNames.at(static_cast<size_t>(reason));
 }
 
@@ -298,6 +298,13 @@
     case proto::ItemOutcome::kNeverPossible:
       RecordDeath(from, outcome, DeathReason::kNeverPossible, now);
       return;
+    case proto::ItemOutcome::kRouteMissing:
+      if (scheduler_.OnRouteMissing(from, outcome, now)) {
+        RecordDeath(from, outcome, DeathReason::kRouteEnded, now);
+      } else {
+        AcknowledgeOutcome(from, name);
+      }
+      return;
     case proto::ItemOutcome::kFailed:
       CountFailure(from, outcome, now);
       return;
@@ -314,13 +321,17 @@
                                 TimePoint now) {
   const proto::ItemName& name = outcome.name();
   const ItemKey key{name.job(), name.item()};
+  const JobItemState* item = jobs_.Find(name.job())->FindItem(name.item());
+  if (item->HasCounted(name.attempt())) {
+    OnFailureCounted(front, outcome, Fail(ErrorCode::kConflict, ""), now);
+    return;
+  }
   proto::StoreCommand command;
   proto::StoreCommand::ItemFailed& failed = *command.mutable_failed();
   failed.set_job(name.job());
   failed.set_item(name.item());
   failed.set_attempt(name.attempt());
-  failed.set_failures(jobs_.Find(name.job())->FindItem(name.item())->failures +
-                      1);
+  failed.set_failures(item->failures + 1);
   recording_.insert(key);
   Propose(command, now,
           [this, front, outcome, key, now](const Status& counted) {
@@ -370,6 +381,7 @@
            {"attempt", std::to_string(name.attempt())},
            {"backend", outcome.backend()},
            {"status", std::to_string(outcome.status())},
+           {"catalog", std::to_string(outcome.catalog_version())},
            {"accepted_ms_ago",
             std::to_string(clock_.NowMs(now) - job->job.accepted_clock_ms())}});
   proto::StoreCommand::ItemDone result;
--- a/src/jobs/store_service.h
+++ b/src/jobs/store_service.h
@@ -16,9 +16,10 @@
 
 // Why an item is recorded as dead.
 enum class DeathReason : uint8_t {
-  // A backend server answered that the item can never be done, or a front's
-  // catalog has no route for it any more.
+  // A backend server answered that the item can never be done.
   kNeverPossible,
+  // The item's route has been removed.
+  kRouteEnded,
   // As many runs failed as the job allows.
   kFailedRuns,
   // The time limit of the job's submission has passed.
--- a/test/correctness/dead_items_test.cc
+++ b/test/correctness/dead_items_test.cc
@@ -63,6 +63,31 @@
     return answer.results_size() == 1 && answer.results(0).dead();
   }
 
+  void StartWithJobOfCatalog7() {
+    host_.StartLeading();
+    proto::JobRecord job = Job();
+    job.set_catalog_version(7);
+    ASSERT_EQ(host_.Submit("a", job), "");
+  }
+
+  // Lets a front whose catalog has no route for the item report for some time.
+  void MissRoute(Duration time, uint64_t catalog) {
+    const TimePoint until = host_.now() + time;
+    while (host_.now() < until) {
+      const proto::ItemOffers offers = host_.Report({}, 1, catalog);
+      if (offers.offers_size() == 1) {
+        proto::ItemOutcome outcome;
+        outcome.mutable_name()->set_job("j");
+        outcome.mutable_name()->set_item("i");
+        outcome.mutable_name()->set_attempt(offers.offers(0).attempt());
+        outcome.set_kind(proto::ItemOutcome::kRouteMissing);
+        outcome.set_catalog_version(catalog);
+        host_.Send(outcome);
+      }
+      host_.Pass(milliseconds(100));
+    }
+  }
+
   // Fails runs until the item is dead and returns how many that took.
   int FailuresUntilDead() {
     for (int runs = 1; runs <= 9; ++runs) {
@@ -196,6 +221,60 @@
   EXPECT_LE(age, 2'000);
 }
 
+// Guards against items that are ended by a front that is cut off from the
+// control hosts, by a catalog that lacks their route and is no longer in force.
+TEST_F(DeadItemsTest, AFrontWithAnOvertakenCatalogEndsNoItem) {
+  StartWithJobOfCatalog7();
+  // The front's authority ends within 4.75 s.
+  MissRoute(milliseconds(4'750), 8);
+  EXPECT_FALSE(Dead());
+  host_.Pass(seconds(10));
+  EXPECT_FALSE(Dead());
+  // A front with the next catalog finds the route.
+  const auto offers = host_.Report({}, 1, 9);
+  ASSERT_EQ(offers.offers_size(), 1);
+  proto::ItemOutcome outcome;
+  outcome.mutable_name()->set_job("j");
+  outcome.mutable_name()->set_item("i");
+  outcome.mutable_name()->set_attempt(offers.offers(0).attempt());
+  outcome.set_kind(proto::ItemOutcome::kComplete);
+  host_.Send(outcome);
+  EXPECT_EQ(host_.Read("a", "j").results_size(), 1);
+  EXPECT_FALSE(Dead());
+}
+
+// Guards against items that are ended because a change without their route was
+// in force for a moment, between two operators' changes.
+TEST_F(DeadItemsTest, ARouteThatIsMissingForAMomentEndsNoItem) {
+  StartWithJobOfCatalog7();
+  for (uint64_t catalog = 8; catalog < 20; ++catalog) {
+    MissRoute(seconds(5), catalog);
+  }
+  EXPECT_FALSE(Dead());
+}
+
+TEST_F(DeadItemsTest, AnItemWhoseRouteStaysRemovedIsDead) {
+  StartWithJobOfCatalog7();
+  MissRoute(seconds(9), 8);
+  EXPECT_FALSE(Dead());
+  MissRoute(seconds(2), 8);
+  EXPECT_TRUE(Dead());
+}
+
+// Guards against an item that a front without its route ends: the caller's
+// first answer was given after the route had been removed and added again.
+TEST(DeadItemsCatalogTest, AJobSentAgainIsAcceptedByTheLaterCatalog) {
+  JobTable table;
+  proto::StoreCommand submit;
+  submit.mutable_submit()->set_id("j");
+  submit.mutable_submit()->add_items()->set_id("i");
+  for (const uint64_t catalog : {7, 9}) {
+    submit.mutable_submit()->set_catalog_version(catalog);
+    ASSERT_TRUE(table.Apply(submit.SerializeAsString()));
+  }
+  EXPECT_EQ(table.Find("j")->job.catalog_version(), 9U);
+}
+
 // Guards against the second copy of an answer, which comes late on a kept
 // connection, being taken for the answer to the next run of the same item.
 TEST(DeadItemsAnswerTest, ALateSecondAnswerIsNotThatOfTheNextRun) {
--- a/test/correctness/item_runner_test.cc
+++ b/test/correctness/item_runner_test.cc
@@ -126,11 +126,14 @@
   ExpectReturnedUnchanged(RunItem());
 }
 
-TEST_F(ItemRunnerTest, AnItemWhoseRouteWasRemovedIsNeverPossible) {
+// Whether the route has ended is the store leader's decision.
+TEST_F(ItemRunnerTest, AnItemWhoseRouteIsMissingIsReportedWithTheCatalog) {
   Open({"127.0.0.1", 1});
   offer_.mutable_item()->set_path("/old/x");
-  offer_.set_catalog_version(1);
-  EXPECT_EQ(RunItem().kind(), proto::ItemOutcome::kNeverPossible);
+  offer_.set_catalog_version(0);
+  const proto::ItemOutcome outcome = RunItem();
+  EXPECT_EQ(outcome.kind(), proto::ItemOutcome::kRouteMissing);
+  EXPECT_EQ(outcome.catalog_version(), 1U);
 }
 
 TEST_F(ItemRunnerTest, AnEventWithoutEndReturnsTheItem) {
--- a/test/fakes/single_store.h
+++ b/test/fakes/single_store.h
@@ -85,10 +85,12 @@
     return Call(call);
   }
 
-  // Reports what a front holds, and returns what it is offered and told.
+  // Reports what a front with this catalog holds, and returns what it is
+  // offered and told.
   proto::ItemOffers Report(const std::vector<proto::ItemName>& in_hand,
-                           uint32_t free_slots) {
+                           uint32_t free_slots, uint64_t catalog = 0) {
     proto::ItemReport report;
+    report.set_catalog_version(catalog);
     for (const proto::ItemName& name : in_hand) {
       *report.add_in_hand() = name;
     }
