Test consensus groups whose disks are full in turn

The test fills the disks of 3 to 7 hosts (3 or 5 voters) one at a time, often the leader's, with lost messages, late restarts and restarts on a disk that is still full. It then requires that commands commit, that the membership is complete, that every member has applied every command, that nothing acknowledged is missing, and that the group goes on without any one host. The fake disk refuses either data, after half of a write, or also new files and names.

A failed write ends the process. ConsensusGroup now calls a function of its options for that, so that a test can simulate the end by an exception. The default is the same delay and exit as before.

--- a/src/group/consensus_group.cc
+++ b/src/group/consensus_group.cc
@@ -595,14 +595,19 @@
           {{"group", options_.name}, {"index", std::to_string(mark.index)}});
 }
 
-// After a failed write it is unknown what reached the disk, so the process
-// exits and restarts from the durable data. It waits before it exits because a
-// full or broken disk does not recover within seconds, and a rapid restart loop
-// would not help.
 void ConsensusGroup::DiskFailed(const Error& error) const {
   LogError("disk_failed", {{"group", options_.name},
                            {"error", std::string(ErrorName(error.code))},
                            {"reason", error.detail}});
+  options_.end_process();
+  std::abort();
+}
+
+// After a failed write it is unknown what reached the disk, so the process
+// exits and restarts from the durable data. It waits before it exits because a
+// full or broken disk does not recover within seconds, and a rapid restart loop
+// would not help.
+void EndProcessAfterDiskFailure() {
   std::this_thread::sleep_for(kDiskFailureExitDelay);
   std::_Exit(1);
 }
--- a/src/group/consensus_group.h
+++ b/src/group/consensus_group.h
@@ -28,6 +28,9 @@
 
 namespace sequoialb {
 
+// Ends the process, after a delay, because a write has failed.
+[[noreturn]] void EndProcessAfterDiskFailure();
+
 struct GroupOptions {
   // "control" or "store"; identifies the group in messages, logs and metrics.
   std::string name;
@@ -50,6 +53,9 @@
   // replace it to get sequential names.
   std::function<std::string(const std::string& host)> make_node_name =
       NewNodeName;
+  // Called after a failed write; does not return. Tests replace it with a
+  // function that throws.
+  std::function<void()> end_process = EndProcessAfterDiskFailure;
 };
 
 class ConsensusGroup {
--- a/test/fakes/memory_files.h
+++ b/test/fakes/memory_files.h
@@ -1,5 +1,6 @@
 // An in-memory file system for tests. A simulated crash loses unsynced bytes,
-// and any single operation can be made to fail.
+// any single operation can be made to fail, and the disk can be full for a
+// while.
 #pragma once
 
 #include <map>
@@ -11,6 +12,14 @@
 
 namespace sequoialb::fakes {
 
+// What a disk still accepts.
+enum class DiskSpace {
+  kFree,
+  // No data, but new files and names.
+  kNoData,
+  kNothing,
+};
+
 class MemoryFiles : public FileSystem {
  public:
   struct File {
@@ -23,6 +32,9 @@
   void FailOperation(int number) { fail_at_ = number; }
   int operations() const { return operations_; }
 
+  // Changes what the disk accepts from now on.
+  void SetSpace(DiskSpace space) { space_ = space; }
+
   // Simulates a crash: each file loses its unsynced bytes except the first
   // `kept`, as when the disk had begun to write them.
   void Crash(size_t kept) {
@@ -62,7 +74,8 @@
 
   Result<std::unique_ptr<AppendFile>> OpenAppend(
       const std::string& path) override {
-    const Status begun = BeginOperation("open");
+    const Status begun = BeginOperation("open").and_then(
+        [&] { return files_.count(path) > 0 ? Status() : CheckNames("open"); });
     if (!begun) {
       return tl::unexpected<Error>(begun.error());
     }
@@ -77,7 +90,8 @@
   }
 
   Status Rename(const std::string& from, const std::string& to) override {
-    const Status begun = BeginOperation("rename");
+    const Status begun =
+        BeginOperation("rename").and_then([&] { return CheckNames("rename"); });
     if (begun) {
       files_[to] = files_[from];
       files_.erase(from);
@@ -104,7 +118,8 @@
         : files_(files), path_(std::move(path)) {}
 
     Status Append(std::string_view data) override {
-      const Status begun = files_.BeginOperation("append");
+      const Status begun = files_.BeginOperation("append").and_then(
+          [&] { return data.empty() ? Status() : files_.CheckData("append"); });
       // A failed write may still have written some of its bytes.
       files_.files_[path_].data.append(begun ? data
                                              : data.substr(0, data.size() / 2));
@@ -132,7 +147,22 @@
     return {};
   }
 
+  Status CheckData(const std::string& operation) const {
+    if (space_ != DiskSpace::kFree) {
+      return Fail(ErrorCode::kIo, operation + ": no space left");
+    }
+    return {};
+  }
+
+  Status CheckNames(const std::string& operation) const {
+    if (space_ == DiskSpace::kNothing) {
+      return Fail(ErrorCode::kIo, operation + ": no space left");
+    }
+    return {};
+  }
+
   std::map<std::string, File> files_;
+  DiskSpace space_ = DiskSpace::kFree;
   int operations_ = 0;
   int fail_at_ = 0;
 };
--- a/test/property/group_property.cc
+++ b/test/property/group_property.cc
@@ -1,12 +1,15 @@
 // Property tests of consensus groups that manage their own membership, under
-// random message loss, killed hosts and lost disks: no acknowledged command is
-// ever lost, and no two nodes apply different commands at the same position.
+// random message loss, killed hosts, lost disks and full disks: no acknowledged
+// command is ever lost, and no two nodes apply different commands at the same
+// position.
 #include <rapidcheck.h>
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,8 +21,15 @@
 namespace sequoialb {
 namespace {
 
+using fakes::DiskSpace;
 using fakes::MemoryFiles;
 
+// Ends a simulated process.
+struct DiskFailure {};
+
+// A process is silent for this long after a failed write, before it ends.
+constexpr milliseconds kSilentFor{2'000};
+
 // Stores every applied command in order.
 class ListState : public GroupState {
  public:
@@ -51,12 +61,15 @@
   std::unique_ptr<ListState> state;
   Metrics metrics;
   std::unique_ptr<ConsensusGroup> group;
+  // Set from a failed write until the process starts again.
+  std::optional<TimePoint> restart_at;
 };
 
 // Simulates a fleet in virtual time on a single thread.
 class Fleet {
  public:
-  explicit Fleet(size_t hosts) {
+  explicit Fleet(size_t hosts, size_t max_voters = 3)
+      : max_voters_(max_voters) {
     for (size_t i = 0; i < hosts; ++i) {
       auto member = std::make_unique<Member>();
       member->host = "h" + std::to_string(i);
@@ -68,7 +81,7 @@
     for (const auto& member : members_) {
       all.push_back({member->group->node(), member->domain, now_});
     }
-    const auto initial_members = PickInitialMembers(all, 3);
+    const auto initial_members = PickInitialMembers(all, max_voters_);
     for (const auto& member : members_) {
       if (std::count(initial_members.begin(), initial_members.end(),
                      member->group->node())) {
@@ -77,7 +90,10 @@
     }
   }
 
-  void Start(size_t i) {
+  void Start(size_t i) { RC_ASSERT(TryStart(i)); }
+
+  // Returns false when the disk cannot be opened.
+  bool TryStart(size_t i) {
     Member& member = *members_[i];
     member.state = std::make_unique<ListState>();
     GroupOptions options;
@@ -87,7 +103,9 @@
     options.snapshot_log_bytes = 400;
     options.log_memory_bytes = 300;
     options.background_snapshots = false;
+    options.max_voters = max_voters_;
     options.standbys = 1;
+    options.end_process = [] { throw DiskFailure(); };
     options.make_node_name = [this](const std::string& host) {
       return host + "@" + std::to_string(++disks_);
     };
@@ -97,10 +115,19 @@
           network_.emplace_back(to, message);
         },
         now_);
-    RC_ASSERT(opened.has_value());
+    if (!opened) {
+      return false;
+    }
     member.group = std::move(*opened);
+    return true;
   }
 
+  void SetSpace(size_t i, DiskSpace space) {
+    members_[i]->files->SetSpace(space);
+  }
+  // Time that a process takes to start after it has ended.
+  void SetRestartDelay(milliseconds delay) { restart_delay_ = delay; }
+
   // Starts to decommission a host. Returns false when too few hosts would
   // remain or another one is being decommissioned.
   bool Retire(size_t i) {
@@ -141,11 +168,14 @@
     now_ += milliseconds(20);
     std::deque<std::pair<std::string, proto::RaftMessage>> batch;
     batch.swap(network_);
+    RestartEnded();
     for (const auto& [to, message] : batch) {
       Member* member = Find(to);
       if (member != nullptr && member->group != nullptr &&
           Random() % 100 >= static_cast<uint32_t>(loss_percent)) {
-        member->group->Receive(message, now_);
+        EndOnDiskFailure(*member, [&, &message = message] {
+          member->group->Receive(message, now_);
+        });
       }
     }
     for (const auto& member : members_) {
@@ -156,9 +186,11 @@
     }
     for (const auto& member : members_) {
       if (member->group != nullptr) {
-        member->group->Tick(now_);
-        member->group->MaintainMembership(candidates_, retiring_, now_);
-        member->group->Flush(now_);
+        EndOnDiskFailure(*member, [&] {
+          member->group->Tick(now_);
+          member->group->MaintainMembership(candidates_, retiring_, now_);
+          member->group->Flush(now_);
+        });
       }
     }
     CheckAgreement();
@@ -221,6 +253,22 @@
       return m->group != nullptr && m->group->IsConfirmedLeader(now_);
     });
   }
+  // Checks that every host runs and has applied every command.
+  void CheckAllCaughtUp() const {
+    for (const auto& member : members_) {
+      RC_ASSERT(member->group != nullptr);
+      if (IsMember(*member)) {
+        RC_ASSERT(member->state->commands == longest_log_);
+      }
+    }
+  }
+  size_t leader() const {
+    const auto found =
+        std::find_if(members_.begin(), members_.end(), [&](const auto& m) {
+          return m->group != nullptr && m->group->IsConfirmedLeader(now_);
+        });
+    return static_cast<size_t>(found - members_.begin());
+  }
   size_t acknowledged() const { return acknowledged_.size(); }
   size_t Voters() const {
     for (const auto& member : members_) {
@@ -233,6 +281,41 @@
   }
 
  private:
+  void EndOnDiskFailure(Member& member, const std::function<void()>& run) {
+    try {
+      run();
+    } catch (const DiskFailure&) {
+      member.group.reset();
+      member.restart_at = now_ + kSilentFor + restart_delay_;
+    }
+  }
+
+  void RestartEnded() {
+    for (size_t i = 0; i < members_.size(); ++i) {
+      Member& member = *members_[i];
+      if (!member.restart_at || now_ < *member.restart_at) {
+        continue;
+      }
+      // An error at the start ends the process at once.
+      member.restart_at = now_ + restart_delay_;
+      EndOnDiskFailure(member, [&] {
+        if (TryStart(i)) {
+          member.restart_at.reset();
+        }
+      });
+    }
+  }
+
+  // Returns whether the confirmed leader lists the host's node as a member.
+  bool IsMember(const Member& member) const {
+    const auto leading = members_[leader()]->group->status();
+    const auto lists = [&](const auto& nodes) {
+      return std::count(nodes.begin(), nodes.end(), member.group->node()) > 0;
+    };
+    return lists(leading.membership().voters()) ||
+           lists(leading.membership().learners());
+  }
+
   Member* Find(const std::string& host) {
     for (const auto& member : members_) {
       if (member->host == host) {
@@ -249,6 +332,8 @@
   TimePoint now_ = TimePoint(seconds(1'000));
   uint64_t random_ = 7;
   int disks_ = 0;
+  size_t max_voters_;
+  milliseconds restart_delay_{500};
   std::vector<std::unique_ptr<Member>> members_;
   std::deque<std::pair<std::string, proto::RaftMessage>> network_;
   std::map<std::string, GroupCandidate> candidates_;
@@ -356,6 +441,63 @@
   fleet.CheckAcknowledged();
 }
 
+// The disks of the hosts are full for a while, one after another and often the
+// leader's. Once the last has room again, commands commit, every host catches
+// up, and the group tolerates the loss of any host.
+void SurvivesFullDisksInTurn() {
+  const auto max_voters = *rc::gen::element<size_t>(3, 5);
+  const auto hosts = *rc::gen::inRange<size_t>(max_voters, max_voters + 3);
+  Fleet fleet(hosts, max_voters);
+  fleet.SetRestartDelay(milliseconds(*rc::gen::element(40, 500, 7'000)));
+  const int loss = *rc::gen::element(0, 5, 20);
+  for (int i = 0; i < kSettleSteps; ++i) {
+    fleet.Step(0);
+  }
+  int command = 0;
+  const auto run = [&](int steps, int loss_percent) {
+    for (int i = 0; i < steps; ++i) {
+      // Pauses let a host whose disk is full go on without a write.
+      if (i % 100 < 70 && i % 4 == 0) {
+        fleet.Propose("c" + std::to_string(command++));
+      }
+      fleet.Step(loss_percent);
+      if (i % 25 == 0) {
+        fleet.CheckLeader();
+      }
+    }
+  };
+  const int rounds = *rc::gen::inRange(2, 8);
+  for (int round = 0; round < rounds; ++round) {
+    const bool leader_fills = *rc::gen::arbitrary<bool>();
+    const auto drawn = *rc::gen::inRange<size_t>(0, hosts);
+    const size_t victim =
+        leader_fills && fleet.HasLeader() ? fleet.leader() : drawn;
+    fleet.SetSpace(victim,
+                   *rc::gen::element(DiskSpace::kNoData, DiskSpace::kNothing));
+    run(*rc::gen::inRange(20, 350), loss);
+    fleet.SetSpace(victim, DiskSpace::kFree);
+    run(*rc::gen::element(0, 1, 20, 200), loss);
+  }
+  run(4 * kSettleSteps, 0);
+  RC_ASSERT(fleet.HasLeader());
+  const size_t before = fleet.acknowledged();
+  run(kSettleSteps, 0);
+  RC_ASSERT(fleet.acknowledged() > before + 30U);
+  for (int i = 0; i < 20; ++i) {
+    fleet.Step(0);
+  }
+  RC_ASSERT(fleet.HasLeader());
+  RC_ASSERT(fleet.Voters() == max_voters);
+  fleet.CheckAllCaughtUp();
+  fleet.CheckAcknowledged();
+  const auto lost = *rc::gen::inRange<size_t>(0, hosts);
+  fleet.Kill(lost, false);
+  const size_t with_all = fleet.acknowledged();
+  run(kSettleSteps, 0);
+  RC_ASSERT(fleet.HasLeader());
+  RC_ASSERT(fleet.acknowledged() > with_all);
+}
+
 }  // namespace
 }  // namespace sequoialb
 
@@ -368,5 +510,6 @@
   passed &= rc::check("survives a failure during decommissioning",
                       SurvivesAFailureDuringDecommission);
   passed &= rc::check("survives power loss", SurvivesPowerLoss);
+  passed &= rc::check("survives full disks in turn", SurvivesFullDisksInTurn);
   return passed ? 0 : 1;
 }
