Number a host's calls so that a restart does not repeat them

Callers could see: an accepted request without a record, a call marked non-idempotent that is sent though the record of sending it was never written, a batch whose input or results are on no disk.

LeaderClient, BlobService and DispatchService numbered their calls from 1 in each process, and messages between hosts name the host, not its incarnation. A reply that a leader, a replica or a dispatcher sent to the process before a restart, late because of a slow disk, answered the call of the same number. The leader also drops a proposal whose number is still pending for the host, and then sends it the result of the earlier one. JobClient and the rates number theirs from a random number already; these three do so now.

Ruled out: the data of a blob (checked by its hash), records of another host's items (checked by generation), repeated proposals of one process (the same command).

--- a/src/batches/blob_service.h
+++ b/src/batches/blob_service.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "base/hash.h"
 #include "base/task_thread.h"
 #include "base/time.h"
 #include "batches/blob_store.h"
@@ -101,7 +102,7 @@
   std::map<uint64_t, std::shared_ptr<PendingPut>> puts_;
   std::map<uint64_t, std::shared_ptr<PendingGet>> gets_;
   std::set<std::string> fetching_;
-  uint64_t next_id_ = 1;
+  uint64_t next_id_ = RandomCallNumber();
   TimePoint collect_due_;
   BlobsMissing missing_;
   Counter& stored_bytes_;
--- a/src/dispatch/dispatch_service.h
+++ b/src/dispatch/dispatch_service.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "base/hash.h"
 #include "dispatch/scheduler.h"
 #include "dispatch/slot_lease.h"
 #include "observe/metrics.h"
@@ -130,7 +131,7 @@
   TimePoint load_due_;
   // Used on the control thread only.
   std::map<uint64_t, std::shared_ptr<PendingAcquire>> pending_acquires_;
-  uint64_t next_request_ = 1;
+  uint64_t next_request_ = RandomCallNumber();
 
   std::mutex mutex_;
   struct HeldSlot {
--- a/src/peer/leader_client.h
+++ b/src/peer/leader_client.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "base/hash.h"
 #include "base/time.h"
 #include "peer/peer_sender.h"
 #include "proto/peer.pb.h"
@@ -77,7 +78,7 @@
   // Time of the last reply from the leader or the last switch to another
   // replica, whichever is later.
   TimePoint last_contact_or_switch_;
-  uint64_t next_id_ = 1;
+  uint64_t next_id_ = RandomCallNumber();
   std::map<uint64_t, Pending> pending_;
 };
 
--- a/test/correctness/dispatch_service_test.cc
+++ b/test/correctness/dispatch_service_test.cc
@@ -103,5 +103,46 @@
   EXPECT_EQ((*lease)->backend().id(), "e1");
 }
 
+// The slot in such a reply was granted to a process that no longer runs.
+TEST_F(DispatchServiceTest, AReplyToTheProcessBeforeARestartGrantsNoSlot) {
+  DispatchService before{settings_, 1, sender_, metrics_,
+                         [this](std::function<void()> task) {
+                           posted_.set_value(std::move(task));
+                         }};
+  const TimePoint now = Clock::now();
+  Ping(now);
+  const auto acquire = [&](DispatchService& service) {
+    return std::async(std::launch::async, [&service, now] {
+      SlotNeed need;
+      need.service = "s";
+      return service.Acquire(need, now + seconds(5));
+    });
+  };
+  proto::Envelope ping;
+  ping.set_from("h1");
+  ping.mutable_ping()->set_incarnation(1);
+  before.OnEnvelope(ping, now);
+  auto first = acquire(before);
+  RunPosted();
+  proto::Envelope late;
+  late.set_from("h1");
+  late.mutable_slot_reply()->set_request_id(
+      sender_.sent.back().second.slot_request().request_id());
+  late.mutable_slot_reply()->set_slot(6);
+  auto second = acquire(service_);
+  RunPosted();
+  const uint64_t request =
+      sender_.sent.back().second.slot_request().request_id();
+  service_.OnEnvelope(late, now);
+  EXPECT_EQ(second.wait_for(milliseconds(100)), std::future_status::timeout);
+  EXPECT_EQ(sender_.sent.back().second.slot_release().slot(), 6U);
+  AnswerRequest(request, now);
+  const auto lease = second.get();
+  ASSERT_TRUE(lease);
+  EXPECT_EQ((*lease)->slot(), 7U);
+  before.OnEnvelope(late, now);
+  EXPECT_TRUE(first.get());
+}
+
 }  // namespace
 }  // namespace sequoialb
