Accept an item for its first owner only while it still owns it

Callers could see: a call marked non-idempotent sent twice, or an answer that differs from the stored result.

When the answer to AcceptItem is lost the host proposes it again and gets its record as "not repeated". If another host has taken the item over in between, that record has the generation of the new owner, and the first one runs the item with it: the ledger accepts its intent to send and its result as those of the new owner. Batches compare the owner already (BatchExchange::Record); items did not.

Ruled out: a proposer that asks again before a take-over (same record, still not marked as repeated, tested) and an item that was sent before the take-over (ends as unknown).

Now such an acceptance is marked as repeated, and the handlers wait for the result of the owner. ItemLedger::Accept, chat_handler and plain_handler do that for repeats already.

--- a/src/ledger/item_table.cc
+++ b/src/ledger/item_table.cc
@@ -47,8 +47,10 @@
   proto::CommandResult result;
   const Record same_id = Find(wanted.id());
   if (same_id != nullptr) {
-    // The proposer repeats the command after a lost answer. This is its own
-    // record, so the result is not marked as repeated.
+    // The proposer repeats the command after a lost answer. The item is its own
+    // to run, unless another host has taken it over since.
+    result.set_repeated(same_id->state() != proto::ITEM_RUNNING ||
+                        same_id->generation() != 1);
     *result.mutable_item() = *same_id;
     return result;
   }
--- a/test/correctness/ledger_test.cc
+++ b/test/correctness/ledger_test.cc
@@ -45,6 +45,26 @@
     return Apply(command);
   }
 
+  proto::CommandResult Accept() {
+    proto::Command command;
+    proto::ItemRecord& item = *command.mutable_accept_item()->mutable_item();
+    item.set_id("i");
+    item.set_owner("h1");
+    item.set_owner_incarnation(1);
+    return Apply(command);
+  }
+
+  proto::CommandResult TakeOver() {
+    proto::Command command;
+    proto::TakeOver& take_over = *command.mutable_take_over();
+    take_over.add_item_ids("i");
+    take_over.set_from("h1");
+    take_over.set_from_incarnation(1);
+    take_over.set_owner("h2");
+    take_over.set_owner_incarnation(2);
+    return Apply(command);
+  }
+
   Ledger ledger_;
   uint64_t index_ = 0;
 };
@@ -76,5 +96,30 @@
   EXPECT_EQ(batch->state(), proto::LOT_RUNNING);
 }
 
+TEST_F(LedgerTest, AnAcceptanceThatArrivesAgainIsNotMarkedAsRepeated) {
+  EXPECT_FALSE(Accept().repeated());
+  EXPECT_FALSE(Accept().repeated());
+}
+
+// The first owner would run the item beside the second, with the generation of
+// the second.
+TEST_F(LedgerTest, AnItemTakenOverIsNotAcceptedForItsFirstOwner) {
+  Accept();
+  TakeOver();
+  const proto::CommandResult result = Accept();
+  EXPECT_TRUE(result.repeated());
+  EXPECT_EQ(result.item().owner(), "h2");
+}
+
+TEST_F(LedgerTest, AnItemThatHasEndedIsNotAcceptedAgain) {
+  Accept();
+  proto::Command complete;
+  complete.mutable_complete_item()->set_item_id("i");
+  complete.mutable_complete_item()->set_generation(1);
+  complete.mutable_complete_item()->set_state(proto::ITEM_DONE);
+  Apply(complete);
+  EXPECT_TRUE(Accept().repeated());
+}
+
 }  // namespace
 }  // namespace sequoialb
