Let one attempt only send an item that may not be repeated

Callers could see: a call marked non-idempotent sent twice, or listed as not run or unknown though its answer arrived.

The intent to send and the result named the item and the generation of its owner, not the attempt. A leader sends an assignment every 2 s while the item runs, and ReassignedWorkRunner forgets an item once its run has ended. While the result of a taken-over call waits to be recorded (no quorum for 5 s), the next assignment starts a second run of the same generation: MarkSent succeeded for an item already sent, and whichever result came first was kept.

Ruled out: items taken over after they were sent (they end as unknown), late results of an earlier owner (refused by generation), idempotent items (not marked as sent; a second run of one is work lost, no second effect).

MarkSent, CompleteItem and the record name the attempt now. A proposal that the host repeats names the same attempt, so a lost answer still does no harm; another attempt is refused, and so is its result. In records of before this change the attempt is empty, as is that of items that were never sent.

The second run itself was not reproduced with processes.

--- a/src/entry/plain_handler.cc
+++ b/src/entry/plain_handler.cc
@@ -10,6 +10,7 @@
 constexpr seconds kAcceptTimeout{2};
 constexpr seconds kCompleteTimeout{5};
 constexpr size_t kItemIdBytes = 12;
+constexpr size_t kAttemptBytes = 8;
 
 struct PlainCall {
   std::string service;
@@ -90,6 +91,7 @@
   proto::CompleteItem completion;
   completion.set_item_id(item.id());
   completion.set_generation(item.generation());
+  completion.set_attempt(item.sent_attempt());
   completion.set_state(proto::ITEM_DONE);
   completion.set_result(result->body);
   completion.set_http_status(result->http_status);
@@ -98,6 +100,11 @@
   return completion;
 }
 
+// Names the attempt that is about to run, if the item may be sent only once.
+void NameAttempt(proto::ItemRecord& item) {
+  item.set_sent_attempt(item.idempotent() ? "" : RandomHex(kAttemptBytes));
+}
+
 // Runs a recorded call. If the call is not idempotent, the intent to send is
 // recorded before the first byte is sent.
 Result<AttemptResult> RunRecorded(EntryContext& context, const PlainCall& call,
@@ -239,11 +246,12 @@
     if (!accepted) {
       return tl::unexpected<Error>(accepted.error());
     }
-    const proto::ItemRecord item = accepted->item;
+    proto::ItemRecord item = accepted->item;
     response_.set("X-Sequoialb-Item", item.id());
     if (accepted->repeated) {
       return AwaitRecordedResult(item);
     }
+    NameAttempt(item);
     Result<AttemptResult> result = RunRecorded(context_, call_, item);
     const Status recorded = context_.items.Complete(
         Completion(item, result), Clock::now() + kCompleteTimeout);
@@ -298,7 +306,9 @@
 }
 
 void RunReassignedPlainItem(EntryContext& context,
-                            const proto::ItemRecord& item) {
+                            const proto::ItemRecord& assigned) {
+  proto::ItemRecord item = assigned;
+  NameAttempt(item);
   const ConfigPointer config = context.host.config().current();
   const auto service = config->services.find(item.service());
   Result<AttemptResult> result =
--- a/src/entry/plain_handler.h
+++ b/src/entry/plain_handler.h
@@ -21,6 +21,6 @@
 // Runs an accepted call that was taken over from a lost host before it was
 // sent.
 void RunReassignedPlainItem(EntryContext& context,
-                            const proto::ItemRecord& item);
+                            const proto::ItemRecord& assigned);
 
 }  // namespace sequoialb
--- a/src/ledger/item_table.cc
+++ b/src/ledger/item_table.cc
@@ -93,8 +93,12 @@
       present->generation() != command.generation()) {
     return Refused(ErrorCode::kConflict, "the item has another owner now");
   }
+  if (present->sent() && present->sent_attempt() != command.attempt()) {
+    return Refused(ErrorCode::kConflict, "another attempt sent the item");
+  }
   proto::ItemRecord item = *present;
   item.set_sent(true);
+  item.set_sent_attempt(command.attempt());
   Store(std::move(item));
   return {};
 }
@@ -116,6 +120,11 @@
     *result.mutable_item() = *present;
     return result;
   }
+  if (present->sent() && present->sent_attempt() != command.attempt()) {
+    result = Refused(ErrorCode::kConflict, "another attempt sent the item");
+    *result.mutable_item() = *present;
+    return result;
+  }
   SEQ_CHECK(command.state() != proto::ITEM_RUNNING,
             "completion leaves the item running");
   proto::ItemRecord item = *present;
--- a/src/requests/item_ledger.cc
+++ b/src/requests/item_ledger.cc
@@ -17,6 +17,7 @@
   proto::CompleteItem completion;
   completion.set_item_id(item.id());
   completion.set_generation(item.generation());
+  completion.set_attempt(item.sent_attempt());
   completion.set_state(error.run == RunState::kUnknown ? proto::ITEM_UNKNOWN
                                                        : proto::ITEM_FAILED);
   completion.set_error_name(std::string(ErrorName(error.code)));
@@ -85,6 +86,7 @@
   proto::Command command;
   command.mutable_mark_sent()->set_item_id(item.id());
   command.mutable_mark_sent()->set_generation(item.generation());
+  command.mutable_mark_sent()->set_attempt(item.sent_attempt());
   const auto result = host_.Propose(command, deadline);
   if (!result) {
     return tl::unexpected<Error>(result.error());
--- a/src/requests/item_ledger.h
+++ b/src/requests/item_ledger.h
@@ -37,7 +37,8 @@
   // leader. Fails when too many results are already queued.
   Status RecordLater(proto::ItemRecord item, const proto::CompleteItem& result);
 
-  // Records that a call which may not be repeated is about to be sent.
+  // Records that a call which may not be repeated is about to be sent, by the
+  // attempt that `item` names. Fails if another attempt was recorded before.
   Status MarkSent(const proto::ItemRecord& item, TimePoint deadline);
 
   // Records the result. If that has no outcome by `deadline`, it continues in
--- a/test/correctness/ledger_test.cc
+++ b/test/correctness/ledger_test.cc
@@ -54,6 +54,26 @@
     return Apply(command);
   }
 
+  proto::CommandResult MarkSent(const std::string& attempt) {
+    proto::Command command;
+    command.mutable_mark_sent()->set_item_id("i");
+    command.mutable_mark_sent()->set_generation(1);
+    command.mutable_mark_sent()->set_attempt(attempt);
+    return Apply(command);
+  }
+
+  proto::CommandResult Complete(const std::string& attempt,
+                                const std::string& value) {
+    proto::Command command;
+    proto::CompleteItem& complete = *command.mutable_complete_item();
+    complete.set_item_id("i");
+    complete.set_generation(1);
+    complete.set_attempt(attempt);
+    complete.set_state(proto::ITEM_DONE);
+    complete.set_result(value);
+    return Apply(command);
+  }
+
   proto::CommandResult TakeOver() {
     proto::Command command;
     proto::TakeOver& take_over = *command.mutable_take_over();
@@ -113,13 +133,26 @@
 
 TEST_F(LedgerTest, AnItemThatHasEndedIsNotAcceptedAgain) {
   Accept();
-  proto::Command complete;
-  complete.mutable_complete_item()->set_item_id("i");
-  complete.mutable_complete_item()->set_generation(1);
-  complete.mutable_complete_item()->set_state(proto::ITEM_DONE);
-  Apply(complete);
+  Complete("", "done");
   EXPECT_TRUE(Accept().repeated());
 }
 
+// An assignment that arrives late starts a second attempt while the result of
+// the first waits to be recorded.
+TEST_F(LedgerTest, AnItemSentByOneAttemptIsNotSentByAnother) {
+  Accept();
+  EXPECT_EQ(MarkSent("first").error_name(), "");
+  EXPECT_EQ(MarkSent("first").error_name(), "");
+  EXPECT_EQ(MarkSent("second").error_name(), "conflict");
+}
+
+TEST_F(LedgerTest, AnAttemptThatWasNotSentDoesNotEndAnItemThatWas) {
+  Accept();
+  MarkSent("first");
+  EXPECT_EQ(Complete("second", "not run").error_name(), "conflict");
+  EXPECT_EQ(Complete("first", "done").error_name(), "");
+  EXPECT_EQ(ledger_.items().Find("i")->result(), "done");
+}
+
 }  // namespace
 }  // namespace sequoialb
