Let a host whose clock was set back join the view after its lease

Operators would see: a host that restarts after its wall clock was set back holds no session until the leader changes or its clock has caught up: it is given no work and sends no orders.

Cause: an incarnation is the wall clock at the start of a process. SessionTable takes a heartbeat with an earlier incarnation for a late message of an earlier process, and keeps the last incarnation of a host after its session has expired.

Ruled out: a restart with a clock that runs ahead (a later incarnation), a new leader (starts from the view, which the host has left).

Only while the lease of the later incarnation runs is an earlier one ignored now. A message that is later than a whole lease can put the earlier process into the view for the time between two heartbeats; the later one had left the view by then.

Evidence: SessionTableTest.AHostThatRestartsWithAnEarlierClockJoinsTheView fails before (no view with the host) and passes after; placement_test 11 of 11.

--- a/src/membership/session_table.cc
+++ b/src/membership/session_table.cc
@@ -15,7 +15,7 @@
                                const proto::HostHeartbeat& heartbeat,
                                TimePoint now) {
   Session& session = sessions_[host];
-  if (heartbeat.incarnation() < session.incarnation) {
+  if (heartbeat.incarnation() < session.incarnation && now < session.expires) {
     return;  // A delayed message from an earlier process of the host.
   }
   session.incarnation = heartbeat.incarnation();
--- a/test/correctness/placement_test.cc
+++ b/test/correctness/placement_test.cc
@@ -163,6 +163,28 @@
                   .has_value());
 }
 
+// Incarnations are readings of the host's wall clock, which may be set back.
+TEST(SessionTableTest, AHostThatRestartsWithAnEarlierClockJoinsTheView) {
+  const SessionOptions options;
+  SessionTable sessions(options);
+  TimePoint now = TimePoint() + seconds(100);
+  proto::HostHeartbeat before;
+  before.set_incarnation(2'000);
+  sessions.OnHeartbeat("a", before, now);
+  proto::HostHeartbeat after;
+  after.set_incarnation(1'000);
+  // While the lease runs, an earlier incarnation is that of a late message.
+  now += options.lease;
+  sessions.OnHeartbeat("a", after, now);
+  EXPECT_EQ(sessions.NextView(proto::HostView(), now)->members(0).incarnation(),
+            2'000U);
+  now += options.margin;
+  sessions.OnHeartbeat("a", after, now);
+  const auto view = sessions.NextView(proto::HostView(), now);
+  ASSERT_TRUE(view.has_value());
+  EXPECT_EQ(view->members(0).incarnation(), 1'000U);
+}
+
 TEST(GroupFormationTest, BootstrapsOnceAllDisksAreNewAndNeverAgain) {
   const std::vector<std::string> hosts = {"a", "b", "c"};
   GroupFormation formation("a@1", hosts);
