--- a/test/fakes/platform_engine.h
+++ b/test/fakes/platform_engine.h
@@ -84,6 +84,12 @@
     return requests;
   }
 
+  // Ends all connections with streams, as a disruption of the network does. The
+  // engine goes on.
+  void ResetConnections() {
+    thread_.Run([&] { AbortStreams(); });
+  }
+
   // Returns the heads of the requests that the engine has run.
   std::vector<RequestHead> AcceptedRequests() {
     std::vector<RequestHead> copy;
@@ -144,6 +150,10 @@
     }
     ++crashes_;
     restarted_at_ = thread_.loop().now() + kRestartTime;
+    AbortStreams();
+  }
+
+  void AbortStreams() {
     for (const auto& stream : streams_) {
       if (!stream->exchange->ended()) {
         stream->exchange->Abort();
