Order batch items by the wall clock again

Callers would have seen: more items done after their due time.

Cause: the time limits' clock, which lags after each change of the leader, also ordered the items. Items that can still meet their due time go first; with a clock that is late, those that will just miss it seemed to be among them.

Ruled out: answers without an id and missing routes (none in the logs), connections (1,431 and 1,519 new ones).

Change: due times, which decide no result, are compared with the wall clock as before. Time limits and the time for which results are kept stay on the group's clock.

--- a/src/jobs/item_scheduler.cc
+++ b/src/jobs/item_scheduler.cc
@@ -112,8 +112,8 @@
   }
 }
 
-int64_t ItemScheduler::DueAtMs(const JobState& job) {
-  return job.job.accepted_clock_ms() + job.job.due_ms();
+int64_t ItemScheduler::DueUnixMs(const JobState& job) {
+  return job.job.accepted_unix_ms() + job.job.due_ms();
 }
 
 Duration ItemScheduler::TimeNeeded(const Key& key) const {
@@ -137,7 +137,7 @@
 std::vector<ItemScheduler::Candidate> ItemScheduler::WaitingByPriority(
     uint64_t catalog_version, TimePoint now) const {
   std::vector<Candidate> waiting;
-  const int64_t clock_ms = clock_.NowMs(now);
+  const int64_t unix_now = UnixMs();
   for (const auto& [id, job] : jobs_.jobs()) {
     if (!job.open() || job.job.catalog_version() > catalog_version) {
       continue;
@@ -155,16 +155,16 @@
           IsQuarantined(item)) {
         continue;
       }
-      const milliseconds due_left(DueAtMs(job) - clock_ms);
+      const milliseconds due_left(DueUnixMs(job) - unix_now);
       waiting.push_back(
-          {&job, &item, due_left >= TimeNeeded(key), DueAtMs(job)});
+          {&job, &item, due_left >= TimeNeeded(key), DueUnixMs(job)});
     }
   }
   std::stable_sort(waiting.begin(), waiting.end(),
                    [](const Candidate& a, const Candidate& b) {
                      return a.can_meet_deadline != b.can_meet_deadline
                                 ? a.can_meet_deadline
-                                : a.due_at_ms < b.due_at_ms;
+                                : a.due_unix_ms < b.due_unix_ms;
                    });
   return waiting;
 }
@@ -212,7 +212,7 @@
   offer.set_account(next.job->job.account());
   offer.set_route_host(next.job->job.route_host());
   *offer.mutable_item() = *next.item->item;
-  offer.set_due_left_ms(next.due_at_ms - clock_.NowMs(now));
+  offer.set_due_left_ms(next.due_unix_ms - UnixMs());
   offer.set_attempt(next_attempt_++);
   offer.set_catalog_version(next.job->job.catalog_version());
   const auto progress = progress_.find(key);
--- a/src/jobs/item_scheduler.h
+++ b/src/jobs/item_scheduler.h
@@ -20,8 +20,10 @@
 // timeout. A new leader collects reports before it offers anything, so that
 // items which are already running are not started twice.
 //
-// A state machine without I/O other than logging. Callers pass in the time; due
-// times are compared with the group's clock.
+// A state machine without I/O other than logging. Callers pass in the time. Due
+// times only order the work and are compared with the wall clock: the group's
+// clock lags after a change of the leader, and items that seem to be in time
+// would then go before those that are.
 #pragma once
 
 #include <cstdint>
@@ -32,7 +34,6 @@
 #include <vector>
 
 #include "base/time.h"
-#include "jobs/job_clock.h"
 #include "jobs/job_table.h"
 #include "proto/fleet.pb.h"
 #include "quarantine/quarantine_list.h"
@@ -41,8 +42,7 @@
 
 class ItemScheduler {
  public:
-  ItemScheduler(const JobTable& jobs, const JobClock& clock)
-      : jobs_(jobs), clock_(clock) {}
+  explicit ItemScheduler(const JobTable& jobs) : jobs_(jobs) {}
 
   // Called when this host becomes the leader, with its term. Discards all
   // state, and delays offers until the fronts have had time to report.
@@ -104,8 +104,7 @@
     const JobState* job = nullptr;
     const JobItemState* item = nullptr;
     bool can_meet_deadline = false;
-    // On the group's clock.
-    int64_t due_at_ms = 0;
+    int64_t due_unix_ms = 0;
   };
 
   const JobItemState* FindUnfinished(const Key& key) const;
@@ -138,10 +137,9 @@
                 proto::ItemOffers& answer);
   // Estimates how much longer an item will take, interruptions included.
   Duration TimeNeeded(const Key& key) const;
-  static int64_t DueAtMs(const JobState& job);
+  static int64_t DueUnixMs(const JobState& job);
 
   const JobTable& jobs_;
-  const JobClock& clock_;
   Quarantines quarantines_;
   TimePoint no_offers_until_;
   // The term of this leader in the upper half, so that no two leaders give a
--- a/src/jobs/store_service.h
+++ b/src/jobs/store_service.h
@@ -10,6 +10,7 @@
 #include "fleet/host_links.h"
 #include "group/consensus_group.h"
 #include "jobs/item_scheduler.h"
+#include "jobs/job_clock.h"
 #include "jobs/job_table.h"
 
 namespace sequoialb {
@@ -89,7 +90,7 @@
   HostLinks& links_;
   JobTable jobs_;
   JobClock clock_;
-  ItemScheduler scheduler_{jobs_, clock_};
+  ItemScheduler scheduler_{jobs_};
   std::unique_ptr<ConsensusGroup> group_;
   std::map<std::string, GroupCandidate> candidates_;
   std::set<std::string> retiring_hosts_;
--- a/test/correctness/jobs_test.cc
+++ b/test/correctness/jobs_test.cc
@@ -4,6 +4,7 @@
 
 #include "../fakes/state_copy.h"
 #include "jobs/item_scheduler.h"
+#include "jobs/job_clock.h"
 #include "jobs/job_table.h"
 
 namespace sequoialb {
@@ -135,10 +136,7 @@
 
 class ItemSchedulerTest : public ::testing::Test {
  protected:
-  void SetUp() override {
-    clock_.Start(0, At(0));
-    scheduler_.StartLeading(1, At(0));
-  }
+  void SetUp() override { scheduler_.StartLeading(1, At(0)); }
   proto::ItemOffers Report(const std::string& front, TimePoint now,
                            uint32_t free_slots,
                            const std::vector<proto::ItemName>& in_hand = {},
@@ -167,8 +165,7 @@
   }
 
   JobTable table_;
-  JobClock clock_;
-  ItemScheduler scheduler_{table_, clock_};
+  ItemScheduler scheduler_{table_};
 };
 
 TEST_F(ItemSchedulerTest, QuarantinedItemsWait) {
@@ -280,8 +277,10 @@
   scheduler_.Remove("finished", "finished-0");
   proto::JobRecord too_late = Job("late", 1, 10, 3'000);
   proto::JobRecord on_time = Job("on-time", 1, 10, 12'000);
-  ASSERT_TRUE(table_.Apply(Submit(too_late, 6'000)).has_value());
-  ASSERT_TRUE(table_.Apply(Submit(on_time, 6'000)).has_value());
+  too_late.set_accepted_unix_ms(UnixMs());
+  on_time.set_accepted_unix_ms(UnixMs());
+  Accept(too_late);
+  Accept(on_time);
   const auto offers = Report("f1", At(6'000), 2);
   ASSERT_EQ(offers.offers_size(), 2);
   EXPECT_EQ(offers.offers(0).job(), "on-time");
