One fake sender for two tests

Cause: blob_service_test and leader_client_test had the same class LastMessage. Change: it stands in test/fakes/last_message.h. Measured: both programs built, 1 and 2 tests passed.

--- a/test/correctness/blob_service_test.cc
+++ b/test/correctness/blob_service_test.cc
@@ -5,17 +5,12 @@
 
 #include <future>
 
+#include "../fakes/last_message.h"
+
 namespace sequoialb {
 namespace {
 
-class LastMessage : public PeerSender {
- public:
-  void Send(const std::string& /*host*/, proto::Envelope envelope) override {
-    last = std::move(envelope);
-  }
-
-  proto::Envelope last;
-};
+using fakes::LastMessage;
 
 // A host without a disk, one replica, and the host's service before and after a
 // restart.
--- a/test/correctness/leader_client_test.cc
+++ b/test/correctness/leader_client_test.cc
@@ -6,18 +6,12 @@
 
 #include <optional>
 
+#include "../fakes/last_message.h"
+
 namespace sequoialb {
 namespace {
 
-// Keeps the last message.
-class LastMessage : public PeerSender {
- public:
-  void Send(const std::string& /*host*/, proto::Envelope envelope) override {
-    last = std::move(envelope);
-  }
-
-  proto::Envelope last;
-};
+using fakes::LastMessage;
 
 class LeaderClientTest : public ::testing::Test {
  protected:
