--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -72,6 +72,12 @@
   std::string health_path;
   uint32_t max_connections = 0;
   uint32_t slots = 0;
+  // How long a server is cold after its start, and how many requests a second
+  // it then bears; a rate of 0 means no limit.
+  milliseconds cold_duration{0};
+  double cold_rate = 0;
+  // How many tokens a server's memory holds; 0 if unknown.
+  uint64_t token_capacity = 0;
 };
 
 struct Account {
--- a/src/fleet/fleet_settings.cc
+++ b/src/fleet/fleet_settings.cc
@@ -71,6 +71,13 @@
       reader.Uint("withdrawal_ms", {.min = 1'500, .max = 600'000}, 5'000));
   settings.stop_grace = std::chrono::duration_cast<milliseconds>(
       FromSeconds(reader.Number("stop_grace_s", 1, 600, 8)));
+  settings.memory_limit_mb =
+      reader.Uint("memory_limit_mb", {.min = 0, .max = 1'048'576}, 0);
+  settings.max_descriptors =
+      reader.Uint("max_descriptors", {.min = 0, .max = 10'000'000}, 0);
+  settings.cold_excess = reader.Number("cold_excess", 0, 1'000, 1);
+  settings.cold_slack = reader.Number("cold_slack", 0, 1'000'000, 0);
+  settings.learn_server_speed = reader.Bool("learn_server_speed", true);
   settings.log_level = reader.String("log_level", "info");
   if ((settings.control || settings.store) && settings.data_folder.empty()) {
     reader.RecordError("data_folder",
--- a/src/fleet/fleet_settings.h
+++ b/src/fleet/fleet_settings.h
@@ -47,6 +47,15 @@
   milliseconds withdrawal{5'000};
   // Time from the stop signal until the process is killed.
   milliseconds stop_grace{8'000};
+  // Memory that the process may use, and its file descriptors; 0 if unknown.
+  uint64_t memory_limit_mb = 0;
+  uint64_t max_descriptors = 0;
+  // All hosts together may send a cold server its cold rate times `cold_excess`
+  // plus `cold_slack` requests in any second.
+  double cold_excess = 1;
+  double cold_slack = 0;
+  // Learn from observations how much each server takes well.
+  bool learn_server_speed = true;
   std::string log_level = "info";
 
   std::vector<Address> seed_peers() const;
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -39,6 +39,9 @@
   uint32_t running = 0;
   uint32_t waiting = 0;
   uint32_t slots = 0;
+  // How long work takes on the server's machine at this moment, in percent of
+  // the usual time. Only servers that share their machines state it.
+  std::optional<uint32_t> work_percent;
 };
 
 // What the gateway needs from the head of a backend server's answer.
