Ask before a request is written to a new connection

Cause: a request is chosen for a server up to 100 ms before the connection to it is established, or longer if the process is suspended in between. Meanwhile the authority lease may have ended or the server may have been evacuated. Ruled out: closing calls to a server when it becomes unusable; that would need a list of unsent calls beside the connections, and misses a process that was suspended. Change: CallOptions::may_send is asked once the connection is established and before the first byte; false fails the call with kWithheld, which counts as unsent.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -78,6 +78,7 @@
         timer_ = 0;
         Fail(CallFailure::kUnreachable);
       });
+      return;
     }
     stream_.Write(options_.request);
   }
@@ -109,6 +110,11 @@
     if (events_.on_connected) {
       events_.on_connected();
     }
+    if (active_ && options_.may_send && !options_.may_send()) {
+      Fail(CallFailure::kWithheld);
+      return;
+    }
+    stream_.Write(options_.request);
   }
 
   void OnInput() {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -30,6 +30,8 @@
   kUnreachable,
   // No process listens at the address: nothing was sent.
   kRefused,
+  // CallOptions::may_send did not permit the request: nothing was sent.
+  kWithheld,
   // The connection ended early.
   kBroken,
   // The response was malformed, or had no end.
@@ -39,7 +41,7 @@
 // Whether the request was not sent at all.
 inline bool IsUnsent(CallFailure failure) {
   return failure == CallFailure::kUnreachable ||
-         failure == CallFailure::kRefused;
+         failure == CallFailure::kRefused || failure == CallFailure::kWithheld;
 }
 
 struct CallEvents {
@@ -66,6 +68,9 @@
   // only once should not be sent on a connection that the server is closing.
   milliseconds max_idle{0};
   TimePoint connect_deadline;
+  // Asked once a new connection is established, before the request is written;
+  // false fails the call with kWithheld. May be empty.
+  std::function<bool()> may_send = nullptr;
 };
 
 class ClientConnection;
--- a/test/correctness/http_client_test.cc
+++ b/test/correctness/http_client_test.cc
@@ -46,6 +46,7 @@
       options.request_id = id;
       options.max_idle = milliseconds(60'000);
       options.connect_deadline = thread_.loop().now() + milliseconds(2'000);
+      options.may_send = may_send_;
       CallEvents events;
       events.on_head = [&](const ResponseHead& head) {
         outcome.status = head.status;
@@ -70,6 +71,7 @@
     return metrics_.counter("sequoialb_backend_connections_total").value();
   }
 
+  std::function<bool()> may_send_;
   Metrics metrics_;
   LoopThread thread_;
   std::unique_ptr<HttpClient> client_;
@@ -100,6 +102,27 @@
   };
 }
 
+// Guards against a request that reaches a server which was evacuated while the
+// client connected to it.
+TEST_F(HttpClientTest, AsksBeforeItWritesToANewConnection) {
+  std::promise<std::string> received;
+  RawServer server([&](Poco::Net::StreamSocket& socket, int) {
+    received.set_value(RawServer::ReadRequest(socket));
+  });
+  may_send_ = [] { return false; };
+  const Outcome outcome = Call(server.address(), "a");
+  ASSERT_TRUE(outcome.failure.has_value());
+  EXPECT_EQ(*outcome.failure, CallFailure::kWithheld);
+  EXPECT_TRUE(IsUnsent(*outcome.failure));
+  EXPECT_EQ(received.get_future().get(), "");
+
+  RawServer other(
+      Replies([](const std::string& id) { return Answer(id, "for " + id); }));
+  may_send_ = [] { return true; };
+  EXPECT_EQ(Call(other.address(), "b").body, "for b");
+  thread_.Run([&] { client_->CloseIdle(other.address()); });
+}
+
 TEST_F(HttpClientTest, ReusesAConnectionAfterACompleteExchange) {
   RawServer server(
       Replies([](const std::string& id) { return Answer(id, "for " + id); }));
