Carry out orders of evacuation in the control group

Cause: operators order that nothing new is sent to a failure domain's backend servers, or revoke that (docs/design/hard-load.md, part 3). Ruled out: an order as part of the catalog, whose writers and versions are others; an acknowledgement at the commit, at which fronts still send for some hundred milliseconds; waiting for all fronts without a limit, which a front that is cut off would use up. A forwarded order is executed once; one that was sent before its domain last changed is ignored, because a partition may have delayed it beyond an opposite order.

--- a/src/fleet/backend_registry.cc
+++ b/src/fleet/backend_registry.cc
@@ -1,5 +1,6 @@
 #include "fleet/backend_registry.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace sequoialb {
@@ -87,6 +88,14 @@
   }
 }
 
+bool BackendRegistry::HasFailureDomain(
+    const std::string& failure_domain) const {
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& entry) {
+    const proto::BackendRecord& record = entry.second.record;
+    return !record.gone() && record.failure_domain() == failure_domain;
+  });
+}
+
 void BackendRegistry::Expire(TimePoint now) {
   for (auto it = entries_.begin(); it != entries_.end();) {
     const bool old = now - it->second.last_contact > kExpireAfter;
--- a/src/fleet/backend_registry.h
+++ b/src/fleet/backend_registry.h
@@ -42,6 +42,10 @@
   // Removes servers that have been out of contact for long.
   void Expire(TimePoint now);
 
+  // Returns whether a server that has not deregistered is in the failure
+  // domain.
+  bool HasFailureDomain(const std::string& failure_domain) const;
+
   size_t size() const { return entries_.size(); }
 
  private:
--- a/src/fleet/control_http_handler.cc
+++ b/src/fleet/control_http_handler.cc
@@ -49,6 +49,9 @@
     call.set_read_catalog(true);
   } else if (auto* retire = std::get_if<RetireHost>(&*request)) {
     call.set_retire_host(retire->host);
+  } else if (auto* order = std::get_if<OrderEvacuation>(&*request)) {
+    call.mutable_set_evacuation()->set_failure_domain(order->failure_domain);
+    call.mutable_set_evacuation()->set_evacuated(order->evacuated);
   } else {
     call.set_retire_status(std::get<ReadRetireStatus>(*request).host);
     retire_status = true;
--- a/src/fleet/control_protocol.h
+++ b/src/fleet/control_protocol.h
@@ -28,9 +28,15 @@
 struct ReadRetireStatus {
   std::string host;
 };
+// Orders that nothing new is sent to the backend servers of a failure domain,
+// or revokes that order.
+struct OrderEvacuation {
+  std::string failure_domain;
+  bool evacuated = false;
+};
 using ControlRequest =
     std::variant<PutCatalog, ReadCatalog, AnnounceBackend, DeregisterBackend,
-                 RetireHost, ReadRetireStatus>;
+                 RetireHost, ReadRetireStatus, OrderEvacuation>;
 
 class ControlProtocol {
  public:
--- a/src/fleet/control_service.cc
+++ b/src/fleet/control_service.cc
@@ -20,6 +20,16 @@
 // they try another host.
 constexpr milliseconds kCallTimeout{900};
 constexpr milliseconds kCallRetry{150};
+// The time of kCallTimeout in which an order of evacuation is committed, and
+// that in which it is acknowledged.
+constexpr milliseconds kEvacuationTimeout =
+    kCallTimeout + EvacuationAcks::kMaxWait;
+// Forwarded calls are remembered for several times as long as they are sent
+// again.
+constexpr milliseconds kForwardedCallMemory{10'000};
+// A control host has heard of every host and backend server this long after its
+// start: two announcements, which a server sends about every 1,200 ms.
+constexpr milliseconds kDirectoryFillTime{3'000};
 // A front without a heartbeat for this long (four missed) is no longer listed
 // as live, and its backend servers are assigned to other fronts.
 constexpr milliseconds kFrontTimeout{1'000};
@@ -62,7 +72,8 @@
           options_.self.host(), RateOptions{},
           [this](const std::string& account) { return RateLimitOf(account); }),
       hellos_(metrics.counter("sequoialb_hellos_total")),
-      announcements_(metrics.counter("sequoialb_announcements_total")) {}
+      announcements_(metrics.counter("sequoialb_announcements_total")),
+      evacuated_domains_(metrics.gauge("sequoialb_evacuated_domains")) {}
 
 Result<std::unique_ptr<ControlService>> ControlService::Open(
     ControlOptions options, FileSystem& files, HostLinks& links,
@@ -90,6 +101,7 @@
     return tl::unexpected<Error>(opened.error());
   }
   service->group_ = std::move(*opened);
+  service->started_at_ = now;
   service->founding_seeds_ = service->group_->PendingFoundingSeeds();
   if (!service->founding_seeds_.empty()) {
     LogInfo("founding_pending",
@@ -113,6 +125,9 @@
     return;
   }
   quarantines_.OnHello(from, hello, now);
+  if (hello.info().front()) {
+    evacuation_acks_.OnReport(hello.info().host(), hello.evacuations_version());
+  }
   proto::FleetMessage message;
   FillReply(hello, *message.mutable_hello_reply(), now);
   links_.Send(from, message);
@@ -148,6 +163,10 @@
     return;
   }
   quarantines_.FillReply(hello, reply);
+  for (const std::string& domain : state_.evacuated_domains()) {
+    reply.add_evacuated_domains(domain);
+  }
+  reply.set_evacuations_version(state_.evacuations_version());
   for (const std::string& node : state_.initial_store_members()) {
     reply.add_store_founders(node);
   }
@@ -306,6 +325,7 @@
   directory_.Expire(now);
   UpdateLiveFronts(now);
   registry_.Expire(now);
+  UpdateEvacuations(now);
   RetryCalls(now);
   UpdateRateOwnership(now);
   if (!group_->leads()) {
@@ -428,7 +448,9 @@
                           CallDone done) {
   const uint64_t number = next_call_++;
   call.set_call(number);
-  calls_[number] = {std::move(call), std::move(done), now + kCallTimeout, now};
+  const milliseconds timeout =
+      call.has_set_evacuation() ? kEvacuationTimeout : kCallTimeout;
+  calls_[number] = {std::move(call), std::move(done), now + timeout, now};
   RetryCalls(now);
 }
 
@@ -450,6 +472,9 @@
   for (const uint64_t number : due) {
     PendingCall& pending = calls_[number];
     pending.send_at = now + kCallRetry;
+    if (pending.call.has_set_evacuation()) {
+      pending.call.set_evacuations_version(state_.evacuations_version());
+    }
     if (group_->leads()) {
       // Not sent again: the answer follows once the entry is committed.
       pending.send_at = pending.deadline;
@@ -497,15 +522,42 @@
   }
 }
 
+void ControlService::Answer(const std::string& to, uint64_t call,
+                            proto::ControlAnswer answer) {
+  answer.set_call(call);
+  proto::FleetMessage message;
+  *message.mutable_control_answer() = std::move(answer);
+  links_.Send(to, message);
+}
+
 void ControlService::OnCall(const std::string& from,
                             const proto::ControlCall& call, TimePoint now) {
-  ExecuteCall(call, now,
-              [this, from, number = call.call()](proto::ControlAnswer answer) {
-                answer.set_call(number);
-                proto::FleetMessage message;
-                *message.mutable_control_answer() = std::move(answer);
-                links_.Send(from, message);
-              });
+  const uint64_t number = call.call();
+  if (!call.has_set_evacuation()) {
+    ExecuteCall(call, now,
+                [this, from, number](const proto::ControlAnswer& answer) {
+                  Answer(from, number, answer);
+                });
+    return;
+  }
+  const std::pair<std::string, uint64_t> key(from, number);
+  const auto [entry, added] = forwarded_calls_.try_emplace(key);
+  if (!added) {
+    if (entry->second.succeeded) {
+      Answer(from, number, {});
+    }
+    return;
+  }
+  entry->second.forget_at = now + kForwardedCallMemory;
+  ExecuteCall(call, now, [this, key](const proto::ControlAnswer& answer) {
+    if (!answer.error_name().empty()) {
+      forwarded_calls_.erase(key);
+    } else if (const auto found = forwarded_calls_.find(key);
+               found != forwarded_calls_.end()) {
+      found->second.succeeded = true;
+    }
+    Answer(key.first, key.second, answer);
+  });
 }
 
 void ControlService::ExecuteCall(const proto::ControlCall& call, TimePoint now,
@@ -535,6 +587,9 @@
       reply(answer);
       return;
     }
+    case proto::ControlCall::kSetEvacuation:
+      SetEvacuation(call, now, reply);
+      return;
     case proto::ControlCall::kRetireHost:
       Retire(call.retire_host(), now, reply);
       return;
@@ -555,6 +610,72 @@
   }
 }
 
+bool ControlService::IsKnownDomain(const std::string& failure_domain) const {
+  return state_.evacuated_domains().count(failure_domain) > 0 ||
+         options_.self.failure_domain() == failure_domain ||
+         registry_.HasFailureDomain(failure_domain) ||
+         std::any_of(directory_.hosts().begin(), directory_.hosts().end(),
+                     [&](const auto& entry) {
+                       return entry.second.info.failure_domain() ==
+                              failure_domain;
+                     });
+}
+
+// The order is proposed also when it is in effect already: an opposite order
+// may have been proposed and not committed yet.
+void ControlService::SetEvacuation(const proto::ControlCall& call,
+                                   TimePoint now, const Reply& reply) {
+  const proto::ControlCommand::SetEvacuation& order = call.set_evacuation();
+  const std::string& domain = order.failure_domain();
+  if (!IsKnownDomain(domain)) {
+    const bool may_be_unheard = now < started_at_ + kDirectoryFillTime;
+    reply(ErrorAnswer(
+        {may_be_unheard ? ErrorCode::kNoQuorum : ErrorCode::kNotFound,
+         "no failure domain " + domain}));
+    return;
+  }
+  if (call.evacuations_version() < state_.LastEvacuationChange(domain)) {
+    // An order that was delayed by a partition would undo later ones. The host
+    // that forwarded it sends it again while its operator waits.
+    reply(ErrorAnswer({ErrorCode::kNoQuorum,
+                       "the failure domain has changed since the order"}));
+    return;
+  }
+  proto::ControlCommand command;
+  *command.mutable_set_evacuation() = order;
+  group_->Propose(
+      command.SerializeAsString(), now,
+      [this, order, reply](const Status& outcome) {
+        if (!outcome) {
+          reply(OutcomeAnswer(outcome));
+          return;
+        }
+        evacuation_acks_.Await(
+            state_.evacuations_version(),
+            [order, reply](bool all_fronts_reported) {
+              LogInfo("evacuation_acknowledged",
+                      {{"domain", order.failure_domain()},
+                       {"evacuated", order.evacuated() ? "yes" : "no"},
+                       {"all_fronts", all_fronts_reported ? "yes" : "no"}});
+              reply(proto::ControlAnswer());
+            });
+      });
+}
+
+void ControlService::UpdateEvacuations(TimePoint now) {
+  evacuated_domains_.Set(
+      static_cast<double>(state_.evacuated_domains().size()));
+  std::vector<std::string> fronts;
+  for (const proto::LiveFront& front : live_fronts_) {
+    fronts.push_back(front.host());
+  }
+  evacuation_acks_.Tick(fronts, state_.evacuations_version(), now);
+  for (auto it = forwarded_calls_.begin(); it != forwarded_calls_.end();) {
+    it = now >= it->second.forget_at ? forwarded_calls_.erase(it)
+                                     : std::next(it);
+  }
+}
+
 size_t ControlService::StoresLeftWithout(const std::string& host,
                                          TimePoint now) const {
   return static_cast<size_t>(
--- a/src/fleet/control_service.h
+++ b/src/fleet/control_service.h
@@ -19,6 +19,7 @@
 #include "catalog/catalog.h"
 #include "fleet/backend_registry.h"
 #include "fleet/control_state.h"
+#include "fleet/evacuation_acks.h"
 #include "fleet/host_directory.h"
 #include "fleet/host_links.h"
 #include "fleet/quarantine_service.h"
@@ -93,6 +94,11 @@
     TimePoint send_at;
   };
   using Reply = std::function<void(const proto::ControlAnswer&)>;
+  // A call that another host has forwarded and may send again.
+  struct ForwardedCall {
+    TimePoint forget_at;
+    bool succeeded = false;
+  };
 
   ControlService(ControlOptions options, HostLinks& links, Metrics& metrics);
   void FillReply(const proto::HostHello& hello, proto::HelloReply& reply,
@@ -107,6 +113,12 @@
                                                    TimePoint now) const;
   void ExecuteCall(const proto::ControlCall& call, TimePoint now,
                    const Reply& reply);
+  void Answer(const std::string& to, uint64_t call,
+              proto::ControlAnswer answer);
+  void SetEvacuation(const proto::ControlCall& call, TimePoint now,
+                     const Reply& reply);
+  bool IsKnownDomain(const std::string& failure_domain) const;
+  void UpdateEvacuations(TimePoint now);
   void Retire(const std::string& host, TimePoint now, const Reply& reply);
   bool Retired(const std::string& host, TimePoint now) const;
   size_t StoresLeftWithout(const std::string& host, TimePoint now) const;
@@ -145,8 +157,15 @@
   RateOwner rates_;
   uint64_t next_call_ = RandomCallNumber();
   std::map<uint64_t, PendingCall> calls_;
+  TimePoint started_at_;
+  EvacuationAcks evacuation_acks_;
+  // Orders of evacuation that other hosts have forwarded, by host and call.
+  // Such an order is executed once: executed again when it is sent again, it
+  // would undo the opposite order that was committed in between.
+  std::map<std::pair<std::string, uint64_t>, ForwardedCall> forwarded_calls_;
   Counter& hellos_;
   Counter& announcements_;
+  Gauge& evacuated_domains_;
 };
 
 }  // namespace sequoialb
--- a/src/fleet/control_state.cc
+++ b/src/fleet/control_state.cc
@@ -36,6 +36,8 @@
     Release(parsed.release().parts());
   } else if (parsed.has_grant_trial()) {
     GrantTrial(parsed.grant_trial());
+  } else if (parsed.has_set_evacuation()) {
+    SetEvacuation(parsed.set_evacuation());
   }
   return {};
 }
@@ -69,6 +71,30 @@
   }
 }
 
+void ControlState::SetEvacuation(
+    const proto::ControlCommand::SetEvacuation& order) {
+  const bool changed =
+      order.evacuated()
+          ? evacuated_domains_.insert(order.failure_domain()).second
+          : evacuated_domains_.erase(order.failure_domain()) > 0;
+  if (!changed) {
+    return;
+  }
+  ++evacuations_version_;
+  evacuation_changes_[order.failure_domain()] = evacuations_version_;
+  LogInfo("evacuation_committed",
+          {{"domain", order.failure_domain()},
+           {"evacuated", order.evacuated() ? "yes" : "no"},
+           {"version", std::to_string(evacuations_version_)}});
+}
+
+uint64_t ControlState::LastEvacuationChange(
+    const std::string& failure_domain) const {
+  const auto found = evacuation_changes_.find(failure_domain);
+  return found == evacuation_changes_.end() ? evacuations_loaded_
+                                            : found->second;
+}
+
 StateParts ControlState::Save() const {
   proto::ControlSnapshot saved;
   saved.set_has_catalog(has_catalog_);
@@ -81,6 +107,10 @@
     saved.add_retiring_hosts(host);
   }
   *saved.mutable_quarantines() = quarantines_;
+  for (const std::string& domain : evacuated_domains_) {
+    saved.add_evacuated_domains(domain);
+  }
+  saved.set_evacuations_version(evacuations_version_);
   return [bytes =
               std::optional<std::string>(saved.SerializeAsString())]() mutable {
     return std::exchange(bytes, std::nullopt);
@@ -100,6 +130,11 @@
   retiring_hosts_ = {parsed.retiring_hosts().begin(),
                      parsed.retiring_hosts().end()};
   quarantines_ = parsed.quarantines();
+  evacuated_domains_ = {parsed.evacuated_domains().begin(),
+                        parsed.evacuated_domains().end()};
+  evacuations_version_ = parsed.evacuations_version();
+  evacuation_changes_.clear();
+  evacuations_loaded_ = evacuations_version_;
   return {};
 }
 
--- a/src/fleet/control_state.h
+++ b/src/fleet/control_state.h
@@ -1,8 +1,10 @@
 // The durable state of a fleet, replicated by the control group: the catalog in
 // force, the initial members (disks) of the store group, the store hosts to be
-// decommissioned, and the quarantined parts of prompts.
+// decommissioned, the quarantined parts of prompts, and the evacuated failure
+// domains.
 #pragma once
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,6 +37,16 @@
   // In the order in which they began. The oldest ends when there are too many.
   const Quarantines& quarantines() const { return quarantines_; }
 
+  // The failure domains to whose backend servers nothing new may be sent.
+  const std::set<std::string>& evacuated_domains() const {
+    return evacuated_domains_;
+  }
+  // Counts the changes of evacuated_domains(). A repeated order is no change.
+  uint64_t evacuations_version() const { return evacuations_version_; }
+  // The version of a failure domain's last change, or a later one after a start
+  // from a snapshot, which does not contain it.
+  uint64_t LastEvacuationChange(const std::string& failure_domain) const;
+
   static constexpr int kMaxQuarantines = 64;
 
  private:
@@ -43,6 +55,7 @@
       const google::protobuf::RepeatedPtrField<std::string>& parts);
   void GrantTrial(const proto::ControlCommand::GrantTrial& grant);
   void Release(const google::protobuf::RepeatedPtrField<std::string>& parts);
+  void SetEvacuation(const proto::ControlCommand::SetEvacuation& order);
 
   bool has_catalog_ = false;
   uint64_t catalog_version_ = 0;
@@ -50,6 +63,11 @@
   std::vector<std::string> initial_store_members_;
   std::set<std::string> retiring_hosts_;
   Quarantines quarantines_;
+  std::set<std::string> evacuated_domains_;
+  uint64_t evacuations_version_ = 0;
+  // Not replicated: the changes since evacuations_loaded_, by failure domain.
+  std::map<std::string, uint64_t> evacuation_changes_;
+  uint64_t evacuations_loaded_ = 0;
 };
 
 }  // namespace sequoialb
--- a/test/correctness/control_service_test.cc
+++ b/test/correctness/control_service_test.cc
@@ -1,11 +1,15 @@
 // Tests how a control host founds the control group and the store group, by the
-// heartbeats that it receives.
+// heartbeats that it receives, and how it carries out orders of evacuation.
 #include "fleet/control_service.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "../fakes/memory_files.h"
+#include "fleet/boot_clock.h"
+#include "fleet/fleet_member.h"
 #include "observe/log.h"
 
 namespace sequoialb {
@@ -145,6 +149,96 @@
     return granted;
   }
 
+  // Makes this host the leader of a control group of its own, for long enough
+  // that it knows all hosts.
+  void Lead() {
+    Start(true, {listen_});
+    HearSelf();
+    Run(milliseconds(3'500));
+    ASSERT_TRUE(control_->status().leads());
+    answers_.clear();
+  }
+
+  // Delivers the heartbeat of a front that has applied a version of the
+  // evacuations, and returns the reply, which arrives over the front's links.
+  proto::HelloReply HearFront(const std::string& host, uint64_t version) {
+    Front& front = fronts_[host];
+    if (front.links == nullptr) {
+      const Address address = FreeAddress();
+      front.info.set_host(host);
+      front.info.set_failure_domain("d2");
+      front.info.set_peer_address(address.ToString());
+      front.info.set_front(true);
+      auto links = HostLinks::Open(front.info, address, metrics_);
+      EXPECT_TRUE(links.has_value());
+      front.links = std::move(*links);
+    }
+    proto::HostHello hello;
+    hello.set_evacuations_version(version);
+    *hello.mutable_info() = front.info;
+    std::optional<proto::HelloReply> reply;
+    const auto limit = std::chrono::steady_clock::now() + kReplyTimeout;
+    while (!reply && std::chrono::steady_clock::now() < limit) {
+      // Replies are dropped until the link is connected, so the heartbeat is
+      // sent again. Its time tells the reply from that to an earlier heartbeat.
+      hello.set_sent_at_us(ToMicros(now_) - ++heartbeats_);
+      control_->OnHello(host, hello, now_);
+      std::this_thread::sleep_for(milliseconds(5));
+      front.links->Drain(
+          [&](const std::string&, const proto::FleetMessage& message) {
+            if (message.hello_reply().sent_at_us() == hello.sent_at_us()) {
+              reply = message.hello_reply();
+            }
+          });
+    }
+    EXPECT_TRUE(reply.has_value());
+    return reply.value_or(proto::HelloReply());
+  }
+
+  static proto::ControlCall OrderOf(const std::string& domain, bool evacuated) {
+    proto::ControlCall call;
+    call.mutable_set_evacuation()->set_failure_domain(domain);
+    call.mutable_set_evacuation()->set_evacuated(evacuated);
+    return call;
+  }
+
+  // Executes an operator's order; answers_ gets the answer.
+  void Order(const std::string& domain, bool evacuated) {
+    control_->Call(OrderOf(domain, evacuated), now_,
+                   [this](const proto::ControlAnswer& answer) {
+                     answers_.push_back(answer.error_name());
+                   });
+    control_->Flush(now_);
+  }
+
+  // Delivers an order that another control host has forwarded, and returns the
+  // names of the errors in the answers that it gets at once or a little later.
+  std::vector<std::string> Forward(const proto::ControlCall& call) {
+    control_->OnCall(self_.host(), call, now_);
+    control_->Flush(now_);
+    Run(milliseconds(40));
+    std::vector<std::string> errors;
+    links_->Drain([&](const std::string&, const proto::FleetMessage& message) {
+      if (message.has_control_answer()) {
+        errors.push_back(message.control_answer().error_name());
+      }
+    });
+    return errors;
+  }
+
+  static std::vector<std::string> Domains(const proto::HelloReply& reply) {
+    return {reply.evacuated_domains().begin(), reply.evacuated_domains().end()};
+  }
+
+  static constexpr seconds kReplyTimeout{10};
+  struct Front {
+    proto::HostInfo info;
+    std::unique_ptr<HostLinks> links;
+  };
+  std::map<std::string, Front> fronts_;
+  int64_t heartbeats_ = 0;
+  // The names of the errors in the answers to orders; empty for success.
+  std::vector<std::string> answers_;
   TimePoint now_ = TimePoint(seconds(1'000));
   Address listen_;
   Address second_{"127.0.0.1", 1};
@@ -279,5 +373,174 @@
   EXPECT_GT(granted, 0U);
 }
 
+const std::vector<std::string> kSuccess{""};
+
+// Guards against an acknowledgement while a front in contact still sends to the
+// evacuated servers.
+TEST_F(ControlServiceTest, AnEvacuationIsAcknowledgedOnceAllFrontsApplyIt) {
+  Lead();
+  HearFront("f1", 0);
+  HearFront("f2", 0);
+  Run(milliseconds(40));
+  Order("d2", true);
+  Run(milliseconds(100));
+  EXPECT_TRUE(answers_.empty());
+  const proto::HelloReply reply = HearFront("f1", 0);
+  EXPECT_TRUE(reply.confirmed());
+  EXPECT_EQ(Domains(reply), std::vector<std::string>{"d2"});
+  EXPECT_EQ(reply.evacuations_version(), 1U);
+  HearFront("f1", 1);
+  Run(milliseconds(40));
+  EXPECT_TRUE(answers_.empty()) << "f2 has not reported";
+  HearFront("f2", 1);
+  Run(milliseconds(40));
+  EXPECT_EQ(answers_, kSuccess);
+}
+
+// Guards against an order that is not acknowledged for a front that is cut off,
+// and against a front that serves by its lease after it must have stopped.
+TEST_F(ControlServiceTest, AFrontThatIsCutOffStopsByItsLease) {
+  constexpr milliseconds kMustHaveStopped{5'000};
+  Lead();
+  TimePoint lease_until;
+  MemberOptions options;
+  options.self.set_host("f1");
+  // The lease of the default settings.
+  options.authority_lease = milliseconds(4'750);
+  FleetMember::Callbacks callbacks;
+  callbacks.on_catalog = [](uint64_t, const std::string&) { return true; };
+  callbacks.on_contact = [](TimePoint) {};
+  callbacks.on_backends = [] {};
+  callbacks.on_authority_lease = [&](TimePoint until) { lease_until = until; };
+  callbacks.on_quarantines = [](const Quarantines&) {};
+  callbacks.on_watched_parts = [](const std::set<std::string>&) {};
+  FleetMember front(options, *links_, callbacks);
+  proto::ControlCall put;
+  put.mutable_put_catalog()->set_version(1);
+  put.mutable_put_catalog()->set_content("catalog");
+  control_->Call(put, now_, [](const proto::ControlAnswer&) {});
+  control_->Flush(now_);
+  Run(milliseconds(20));
+  front.OnReply(self_.host(), HearFront("f1", 0), now_);
+  ASSERT_NE(lease_until, TimePoint());
+  ASSERT_LE(lease_until, now_ + options.authority_lease);
+  Order("d2", true);
+  const TimePoint ordered_at = now_;
+  while (answers_.empty() && now_ < ordered_at + seconds(2)) {
+    Run(milliseconds(20));
+  }
+  ASSERT_EQ(answers_, kSuccess);
+  EXPECT_GE(now_ - ordered_at, EvacuationAcks::kMaxWait);
+  EXPECT_LE(now_ - ordered_at, EvacuationAcks::kMaxWait + milliseconds(60));
+  EXPECT_LE(lease_until, now_ + kMustHaveStopped);
+  // Sent again, the order is not waited for anew.
+  answers_.clear();
+  HearFront("f1", 0);
+  Order("d2", true);
+  Run(milliseconds(40));
+  EXPECT_EQ(answers_, kSuccess);
+}
+
+// Guards against an order for a misspelled domain that seems to have succeeded,
+// and against a refusal by a host that has just started and knows no domains.
+TEST_F(ControlServiceTest, AnUnknownFailureDomainIsRefused) {
+  Lead();
+  proto::BackendRecord record;
+  record.set_id("b1");
+  record.set_failure_domain("d9");
+  record.set_address("127.0.0.1:1");
+  control_->Announce(record, now_);
+  for (const char* domain : {"d", "d99"}) {
+    for (const bool evacuated : {true, false}) {
+      Order(domain, evacuated);
+    }
+  }
+  const std::string not_found(ErrorName(ErrorCode::kNotFound));
+  EXPECT_EQ(answers_, std::vector<std::string>(4, not_found));
+  EXPECT_EQ(HearFront("f1", 0).evacuations_version(), 0U);
+  answers_.clear();
+  for (const char* domain : {"d1", "d2", "d9"}) {
+    // The domains of this host, of f1 and of the backend server.
+    Order(domain, true);
+  }
+  HearFront("f1", 3);
+  Run(milliseconds(40));
+  EXPECT_EQ(answers_, std::vector<std::string>(3, ""));
+
+  Start(false, {listen_});
+  answers_.clear();
+  HearSelf();
+  Run(milliseconds(1'000));
+  ASSERT_TRUE(control_->status().leads());
+  Order("d7", true);
+  Run(milliseconds(100));
+  EXPECT_TRUE(answers_.empty()) << "the host may not have heard of d7 yet";
+}
+
+// Guards against an acknowledged order that is lost with a power failure.
+TEST_F(ControlServiceTest, OrdersOfEvacuationSurviveARestart) {
+  Lead();
+  HearFront("f1", 0);
+  Order("d2", true);
+  Order("d1", true);
+  Order("d1", false);
+  HearFront("f1", 3);
+  Run(milliseconds(40));
+  ASSERT_EQ(answers_, std::vector<std::string>(3, ""));
+  Start(false, {listen_});
+  HearSelf();
+  Run(milliseconds(1'000));
+  const proto::HelloReply reply = HearFront("f1", 0);
+  ASSERT_TRUE(reply.confirmed());
+  EXPECT_EQ(Domains(reply), std::vector<std::string>{"d2"});
+  EXPECT_EQ(reply.evacuations_version(), 3U);
+}
+
+// Both orders are in progress at once: the one that is committed last counts,
+// and both are acknowledged.
+TEST_F(ControlServiceTest, OfTwoOrdersAtOnceTheLaterCounts) {
+  Lead();
+  for (const bool last : {true, false}) {
+    answers_.clear();
+    HearFront("f1", 100);
+    for (const bool evacuated : {!last, last}) {
+      control_->Call(OrderOf("d1", evacuated), now_,
+                     [this](const proto::ControlAnswer& answer) {
+                       answers_.push_back(answer.error_name());
+                     });
+    }
+    control_->Flush(now_);
+    Run(milliseconds(40));
+    EXPECT_EQ(answers_, std::vector<std::string>(2, ""));
+    EXPECT_EQ(Domains(HearFront("f1", 100)).size(), last ? 1U : 0U);
+  }
+}
+
+// Guards against an order that reaches the leader again, or late, and undoes
+// the opposite order that has been acknowledged meanwhile.
+TEST_F(ControlServiceTest, AForwardedOrderIsNotExecutedAgainOrLate) {
+  Lead();
+  HearFront("f1", 100);
+  proto::ControlCall first = OrderOf("d1", true);
+  first.set_call(7);
+  EXPECT_EQ(Forward(first), kSuccess);
+  Order("d1", false);
+  Run(milliseconds(40));
+  ASSERT_EQ(answers_, kSuccess);
+  // Its answer was lost.
+  EXPECT_EQ(Forward(first), kSuccess);
+  EXPECT_TRUE(Domains(HearFront("f1", 100)).empty());
+  // Another host sent this one before the first and was cut off meanwhile.
+  proto::ControlCall late = OrderOf("d1", true);
+  late.set_call(8);
+  EXPECT_EQ(Forward(late), std::vector<std::string>{
+                               std::string(ErrorName(ErrorCode::kNoQuorum))});
+  EXPECT_TRUE(Domains(HearFront("f1", 100)).empty());
+  // Its operator still waits, so it is sent again by what the host knows now.
+  late.set_evacuations_version(2);
+  EXPECT_EQ(Forward(late), kSuccess);
+  EXPECT_EQ(Domains(HearFront("f1", 100)), std::vector<std::string>{"d1"});
+}
+
 }  // namespace
 }  // namespace sequoialb
--- a/test/correctness/platform_adapter_test.cc
+++ b/test/correctness/platform_adapter_test.cc
@@ -190,6 +190,28 @@
             ErrorCode::kNotFound);
 }
 
+// An order with a body is refused: its sender may believe that the body says
+// what to evacuate.
+TEST(ControlAdapter, DecodesOrdersOfEvacuation) {
+  const ControlAdapter adapter;
+  for (const bool evacuated : {true, false}) {
+    const std::string line =
+        std::string(evacuated ? "POST" : "DELETE") + " /sequoialb/drain/zone-2";
+    const auto request = adapter.Decode(Head(line), "");
+    ASSERT_TRUE(request.has_value());
+    const auto* order = std::get_if<OrderEvacuation>(&*request);
+    ASSERT_NE(order, nullptr);
+    EXPECT_EQ(order->failure_domain, "zone-2");
+    EXPECT_EQ(order->evacuated, evacuated);
+    EXPECT_EQ(HttpStatus(adapter.Decode(Head(line), "{}").error().code), 400);
+  }
+  for (const char* line : {"GET /sequoialb/drain/z", "POST /sequoialb/drain/",
+                           "POST /sequoialb/drain"}) {
+    EXPECT_EQ(adapter.Decode(Head(line), "").error().code, ErrorCode::kNotFound)
+        << line;
+  }
+}
+
 TEST(GatewayAdapter, ReplacesReservedHeadersAndForwardsTheRest) {
   const GatewayAdapter adapter;
   const RequestHead head =
