Send nothing new to evacuated failure domains

Cause: fronts must obey the control group's orders of evacuation. Ruled out: marking servers as evacuated in BackendPool; leaving them out of the usable servers covers online requests, items, retries, resumes and trials in one place. Change: a front takes the evacuations of a confirmed reply before the lease that the reply extends, and only newer ones. It publishes the servers without those of evacuated domains, does not probe those, checks a request again before its first byte, and reports the version that its traffic thread has applied at once. Fronts of an evacuated domain are assigned servers of the other domains.

--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -4,6 +4,7 @@
 #include <future>
 
 #include "base/hash.h"
+#include "fleet/assignment_policy.h"
 #include "fleet/boot_clock.h"
 #include "observe/log.h"
 
@@ -330,6 +331,7 @@
   }
   if (settings_.front) {
     hello.set_survivors(survivors_);
+    hello.set_evacuations_version(evacuations_applied_);
   }
   for (const proto::TrialWanted& wanted : trials_wanted_) {
     *hello.add_trials_wanted() = wanted;
@@ -342,56 +344,102 @@
 }
 
 // Passes the backend servers that accept work to the traffic thread, with
-// whether this front is the assigned front of each. The servers of a failure
-// domain are assigned in turn to the fronts of that domain, or to all fronts if
-// the domain has none.
+// whether this front is the assigned front of each (assignment_policy.h). Those
+// of evacuated failure domains are left out.
 void FleetHost::PublishBackends(TimePoint now) {
   if (front_ == nullptr || member_ == nullptr) {
     return;
   }
   next_publish_at_ = now + kPublishInterval;
-  std::map<std::string, std::vector<std::string>> fronts;
-  std::vector<std::string> all_fronts;
-  for (const auto& front : member_->last_confirmed_reply().live_fronts()) {
-    fronts[front.failure_domain()].push_back(front.host());
-    all_fronts.push_back(front.host());
-  }
+  const proto::HelloReply& confirmed = member_->last_confirmed_reply();
+  const std::set<std::string> evacuated(confirmed.evacuated_domains().begin(),
+                                        confirmed.evacuated_domains().end());
+  const auto servers = member_->backends().Usable(now, member_->InContact(now));
+  std::set<std::string> server_domains;
+  for (const KnownBackend* known : servers) {
+    server_domains.insert(known->record.failure_domain());
+  }
+  const auto fronts = AssignableFronts(
+      {confirmed.live_fronts().begin(), confirmed.live_fronts().end()},
+      server_domains, evacuated);
+  const bool self_evacuated = evacuated.count(settings_.failure_domain) > 0;
   std::vector<UsableBackend> usable;
+  std::map<std::string, std::string> evacuated_backends;
   std::map<std::string, size_t> backends_per_domain;
-  for (const KnownBackend* known :
-       member_->backends().Usable(now, member_->InContact(now))) {
+  for (const KnownBackend* known : servers) {
     const proto::BackendRecord& record = known->record;
     const auto address = ParseAddress(record.address());
     if (!address || record.slots() == 0) {
       continue;
     }
-    const auto domain_fronts = fronts.find(record.failure_domain());
-    const std::vector<std::string>& candidate_fronts =
-        domain_fronts == fronts.end() ? all_fronts : domain_fronts->second;
+    const auto candidate_fronts = fronts.find(record.failure_domain());
+    if (candidate_fronts == fronts.end()) {
+      evacuated_backends[record.id()] = record.address();
+      continue;
+    }
+    const std::vector<std::string>& candidates = candidate_fronts->second;
     const size_t index = backends_per_domain[record.failure_domain()]++;
     UsableBackend backend;
     backend.id = record.id();
     backend.service = record.service();
     backend.address = *address;
-    backend.local = record.failure_domain() == settings_.failure_domain;
-    backend.assigned =
-        !candidate_fronts.empty() &&
-        candidate_fronts[index % candidate_fronts.size()] == settings_.host;
+    backend.assigned = !candidates.empty() &&
+                       candidates[index % candidates.size()] == settings_.host;
+    // A front of an evacuated domain has no servers nearby and uses its
+    // assigned ones like local ones: it does not stop batch items to avoid
+    // them.
+    backend.local = record.failure_domain() == settings_.failure_domain ||
+                    (self_evacuated && backend.assigned);
     backend.slots = record.slots();
     backend.cold = record.cold_left_ms() > 0;
     backend.started_unix_ms = record.started_unix_ms();
     usable.push_back(std::move(backend));
   }
-  loop_.Post([this, usable, count = all_fronts.size(),
-              live = member_->last_confirmed_reply().live_fronts()] {
+  loop_.Post([this, usable, evacuated, evacuated_backends,
+              count = static_cast<size_t>(confirmed.live_fronts_size()),
+              live = confirmed.live_fronts(),
+              version = confirmed.evacuations_version()] {
     load_reporter_->SetFronts(live);
     front_->SetUsable(usable);
+    ApplyEvacuations(version, evacuated, evacuated_backends);
     rate_limiter_->SetFronts(count);
     front_->pool.SetPeers(count > 0 ? count - 1 : 0);
     ScheduleDispatch();
   });
 }
 
+void FleetHost::ApplyEvacuations(uint64_t version,
+                                 const std::set<std::string>& domains,
+                                 std::map<std::string, std::string> backends) {
+  if (version == evacuations_applied_) {
+    // A server that has become unresponsive since may still run requests.
+    front_->evacuated.merge(backends);
+    return;
+  }
+  front_->evacuated = std::move(backends);
+  std::string names;
+  for (const std::string& domain : domains) {
+    names.append(names.empty() ? "" : " ").append(domain);
+  }
+  LogInfo("evacuation_applied",
+          {{"version", std::to_string(version)},
+           {"domains", names},
+           {"backends", std::to_string(front_->evacuated.size())},
+           {"requests_left", std::to_string(EvacuatedRequests())}});
+  metrics_.gauge("sequoialb_evacuated_domains_applied")
+      .Set(static_cast<double>(domains.size()));
+  evacuations_applied_ = version;
+  PostControl([this] { member_->HeartbeatSoon(); });
+}
+
+size_t FleetHost::EvacuatedRequests() const {
+  size_t requests = 0;
+  for (const auto& [backend, own] : front_->pool.OwnRequests()) {
+    requests += front_->evacuated.count(backend) > 0 ? own : 0;
+  }
+  return requests;
+}
+
 void FleetHost::PostControl(std::function<void()> task) {
   control_tasks_.Add(std::move(task));
 }
@@ -576,6 +624,8 @@
   item_runner_->StartWaiting();
   proto::ItemReport report;
   item_runner_->Report(report);
+  metrics_.gauge("sequoialb_evacuated_requests")
+      .Set(static_cast<double>(EvacuatedRequests()));
   if (loop_.now() >= next_summary_at_) {
     next_summary_at_ = loop_.now() + kSummaryInterval;
     LogInfo("front_load",
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -10,7 +10,9 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -82,6 +84,13 @@
   // the control hosts.
   void ReportCrashes(TimePoint now);
   void ScheduleDispatch();
+  // Takes which failure domains are evacuated. `backends` are the servers
+  // there.
+  void ApplyEvacuations(uint64_t version, const std::set<std::string>& domains,
+                        std::map<std::string, std::string> backends);
+  // Returns how many requests this front has in progress at servers of
+  // evacuated failure domains.
+  size_t EvacuatedRequests() const;
 
   FleetSettings settings_;
   const GatewayProtocol& gateway_protocol_;
@@ -114,6 +123,9 @@
   // The control thread holds trials that this front wants.
   bool wants_trials_ = false;
   TimePoint next_summary_at_;
+  // The version of the evacuations that the traffic thread has applied. Set by
+  // the traffic thread and sent by the control thread.
+  std::atomic<uint64_t> evacuations_applied_{0};
   // Used on the control thread.
   TimePoint next_publish_at_;
   std::vector<proto::TrialWanted> trials_wanted_;
--- a/src/fleet/fleet_member.cc
+++ b/src/fleet/fleet_member.cc
@@ -13,8 +13,6 @@
 constexpr milliseconds kHeartbeatInterval{250};
 // Used until the first catalog has arrived.
 constexpr milliseconds kInitialHeartbeatInterval{100};
-// Heartbeats that report crashes are sent at most this often.
-constexpr milliseconds kMinHeartbeatInterval{50};
 // Six heartbeats without a reply.
 constexpr milliseconds kContactTimeout{1'500};
 
@@ -124,14 +122,14 @@
       UpdateHosts(reply);
     }
   }
-  bool fronts_changed = false;
+  bool changed = false;
   if (reply.confirmed()) {
     leader_host_ = from;
     confirmed_at_ = now;
     *last_confirmed_reply_.mutable_store_founders() = reply.store_founders();
     *last_confirmed_reply_.mutable_retiring_hosts() = reply.retiring_hosts();
     if (!reply.live_fronts_unchanged() && !overtaken) {
-      fronts_changed =
+      changed =
           reply.live_fronts_hash() != last_confirmed_reply_.live_fronts_hash();
       *last_confirmed_reply_.mutable_live_fronts() = reply.live_fronts();
       last_confirmed_reply_.set_live_fronts_hash(reply.live_fronts_hash());
@@ -139,8 +137,8 @@
     if (!overtaken) {
       UpdateQuarantines(reply);
     }
+    changed = UpdateEvacuations(reply) || changed;
   }
-  bool changed = fronts_changed;
   for (const proto::BackendRecord& record : reply.backends()) {
     if (backends_.Merge(record, now)) {
       changed = true;
@@ -159,6 +157,17 @@
   ExtendAuthorityLease(reply);
 }
 
+bool FleetMember::UpdateEvacuations(const proto::HelloReply& reply) {
+  if (reply.evacuations_version() <=
+      last_confirmed_reply_.evacuations_version()) {
+    return false;
+  }
+  *last_confirmed_reply_.mutable_evacuated_domains() =
+      reply.evacuated_domains();
+  last_confirmed_reply_.set_evacuations_version(reply.evacuations_version());
+  return true;
+}
+
 void FleetMember::UpdateQuarantines(const proto::HelloReply& reply) {
   if (TakeQuarantines(reply, last_confirmed_reply_)) {
     callbacks_.on_quarantines(last_confirmed_reply_.quarantines());
@@ -178,8 +187,7 @@
   }
   crash_evidence_.AddSound(sound, now);
   if (!crashes.empty()) {
-    next_heartbeat_ =
-        std::min(next_heartbeat_, last_heartbeat_ + kMinHeartbeatInterval);
+    HeartbeatSoon();
   }
 }
 
@@ -214,7 +222,9 @@
   }
   const bool current =
       has_catalog_ && reply.catalog_version() <= catalog_version_;
-  if (!reply.confirmed() || !current) {
+  const bool evacuations_applied = reply.evacuations_version() <=
+                                   last_confirmed_reply_.evacuations_version();
+  if (!reply.confirmed() || !current || !evacuations_applied) {
     return;
   }
   const TimePoint until =
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -8,9 +8,13 @@
 // host sends a heartbeat, provided that the leader, with its quorum confirmed,
 // answers that heartbeat with no newer catalog than the host has. On a host
 // that is partitioned or was suspended, the lease expires by itself, so a
-// withdrawn API key stops working there as well.
+// withdrawn API key stops working there as well, and nothing is sent to the
+// backend servers of a failure domain that has been evacuated meanwhile. The
+// evacuations of a reply are therefore passed on before the lease that the same
+// reply extends.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
@@ -48,7 +52,7 @@
     // The authority lease now ends at `until`, on the clock of BootNow.
     std::function<void(TimePoint until)> on_authority_lease;
     // A backend server was added, changed or deregistered, or the list of live
-    // fronts has changed.
+    // fronts or of evacuated failure domains has changed.
     std::function<void()> on_backends;
     // The quarantines in force have changed.
     std::function<void(const Quarantines&)> on_quarantines;
@@ -69,14 +73,19 @@
   // heartbeat.
   void ReportCrashes(const std::vector<CrashRecord>& crashes,
                      const SoundParts& sound, TimePoint now);
+  // Sends the next heartbeat without waiting for its regular time.
+  void HeartbeatSoon() {
+    next_heartbeat_ =
+        std::min(next_heartbeat_, last_heartbeat_ + kMinHeartbeatInterval);
+  }
   // Marks this host as leaving, from its next heartbeat on.
   void Leave() { options_.self.set_leaving(true); }
 
   const BackendDirectory& backends() const { return backends_; }
   const std::map<std::string, proto::HostInfo>& hosts() const { return hosts_; }
-  // Initial members of the store group, retiring hosts, live fronts and
-  // quarantines of the last reply that a confirmed leader sent; all other
-  // fields are empty.
+  // Initial members of the store group, retiring hosts, live fronts,
+  // quarantines and evacuations of the last reply that a confirmed leader sent;
+  // all other fields are empty.
   const proto::HelloReply& last_confirmed_reply() const {
     return last_confirmed_reply_;
   }
@@ -86,6 +95,9 @@
   const proto::HostInfo& self() const { return options_.self; }
 
  private:
+  // Heartbeats that report crashes or evacuations are sent at most this often.
+  static constexpr milliseconds kMinHeartbeatInterval{50};
+
   // What this host already has from a control host, sent back in heartbeats so
   // that replies contain only changes.
   struct ControlHostState {
@@ -101,6 +113,10 @@
   std::set<std::string> HeartbeatTargets() const;
   void UpdateHosts(const proto::HelloReply& reply);
   void UpdateQuarantines(const proto::HelloReply& reply);
+  // Takes the evacuations of a confirmed leader's reply, unless this host has
+  // the same or newer ones: replies may arrive late. Returns whether they have
+  // changed.
+  bool UpdateEvacuations(const proto::HelloReply& reply);
   void ExtendAuthorityLease(const proto::HelloReply& reply);
 
   MemberOptions options_;
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -92,6 +92,13 @@
   // have too few free slots.
   std::optional<Choice> ChooseItem(const std::string& service,
                                    TimePoint now) const;
+  // Returns whether the server may still get a request that was chosen for it:
+  // it may have been evacuated or may have deregistered while the front
+  // connected to it.
+  bool IsUsable(const std::string& backend) const {
+    const auto found = loads_.find(backend);
+    return found != loads_.end() && found->second.usable;
+  }
   // Returns how many batch items could start now.
   size_t FreeItemSlots(TimePoint now) const;
 
--- a/src/gateway/front_view.cc
+++ b/src/gateway/front_view.cc
@@ -1,5 +1,7 @@
 #include "gateway/front_view.h"
 
+#include <algorithm>
+
 #include "observe/log.h"
 
 namespace sequoialb {
@@ -42,7 +44,10 @@
   const TimePoint now = loop.now();
   for (const std::string& text : crashes.ProbesDue(now)) {
     const auto address = ParseAddress(text);
-    if (!address) {
+    const bool is_evacuated =
+        std::any_of(evacuated.begin(), evacuated.end(),
+                    [&](const auto& server) { return server.second == text; });
+    if (!address || is_evacuated) {
       continue;
     }
     probes.Start(*address, now + kProbeTimeout,
--- a/src/gateway/front_view.h
+++ b/src/gateway/front_view.h
@@ -68,6 +68,8 @@
   TrialGrants trials;
   SurvivorCount survivors;
   ConnectProbes probes;
+  // The addresses of the servers of evacuated failure domains, by server.
+  std::map<std::string, std::string> evacuated;
 
   FrontShared(EventLoop& event_loop, Metrics& all_metrics,
               const GatewayProtocol& gateway_protocol)
@@ -78,6 +80,13 @@
         pool(Hash64(RandomHex(8))),
         probes(event_loop) {}
 
+  // Returns whether a request that was chosen for the server may be sent to it
+  // now. Asked when the connection is ready, up to the connect time after the
+  // choice, or after a longer suspension of the process.
+  bool MaySend(const std::string& backend) const {
+    return view.has_authority() && pool.IsUsable(backend);
+  }
+
   // Takes what the head of an answer says about the server that sent it.
   void RecordServerState(const std::string& backend,
                          const BackendAnswer& answer);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -389,6 +389,9 @@
       (request.route->kind == RouteKind::kStream && !request.route->resumable);
   options.max_idle = runs_once ? kRunOnceMaxIdle : kMaxIdle;
   options.connect_deadline = now + kConnectTimeout;
+  options.may_send = [this, backend = choice.backend] {
+    return front_.MaySend(backend);
+  };
   CallEvents events;
   events.on_connected = [this, &request] {
     front_.crashes.RecordAccepted(request.process.address, front_.loop.now());
@@ -646,7 +649,9 @@
   const TimePoint now = front_.loop.now();
   const bool unsent = IsUnsent(failure);
   if (request.trial) {
-    LogTrial(request, unsent ? "unreachable" : "broken");
+    LogTrial(request, failure == CallFailure::kWithheld ? "withheld"
+                      : unsent                          ? "unreachable"
+                                                        : "broken");
   }
   if (failure == CallFailure::kRefused) {
     front_.crashes.RecordRefused(request.process.address, now);
@@ -669,7 +674,9 @@
           request.last_progress_at != TimePoint() ? "yes" : "no"},
          {"load", front_.pool.Describe(backend, now)}});
   }
-  front_.pool.RecordFailure(backend, FailureOfCall(failure), now);
+  if (failure != CallFailure::kWithheld) {
+    front_.pool.RecordFailure(backend, FailureOfCall(failure), now);
+  }
   if (failure != CallFailure::kRefused) {
     // A server that refused the connection may start again: the pool's backoff
     // says when it is tried next.
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -168,6 +168,9 @@
   options.request_id = item.id();
   options.max_idle = kMaxConnectionIdle;
   options.connect_deadline = front_.loop.now() + kConnectTimeout;
+  options.may_send = [this, backend = choice.backend] {
+    return front_.MaySend(backend);
+  };
   CallEvents events;
   events.on_connected = [this, &run] {
     front_.crashes.RecordAccepted(run.process.address, front_.loop.now());
@@ -226,7 +229,9 @@
   if (run.trial && IsUnsent(failure)) {
     front_.trials.Return(front_.view.quarantines, run.shared_parts);
   }
-  front_.pool.RecordFailure(run.backend, FailureOfCall(failure), now);
+  if (failure != CallFailure::kWithheld) {
+    front_.pool.RecordFailure(run.backend, FailureOfCall(failure), now);
+  }
   if (failure == CallFailure::kRefused) {
     front_.crashes.RecordRefused(run.process.address, now);
   } else if (failure == CallFailure::kBroken) {
