Test the listeners of sequoialb-platform with clients that exceed the limits

Clients outside the operators' control have ended a process by exhausting its memory. Eleven tests start sequoialb-platform with 64 MB and 160 descriptors in its settings, open a fixed crowd on one listener and check that the process lives, that its peak memory and descriptors stay within the settings, and that an ordinary request is answered beside the crowd.

The memory and descriptor settings are parsed and act on nothing yet.

Ruled out: lowering the limits of bodies instead of the memory of the host, because the configuration cannot lower those of the ready, control and metrics listeners.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -26,3 +26,23 @@
   add_test(NAME ${name} COMMAND ${name})
   set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=${PROPERTY_PARAMS}")
 endforeach()
+
+# Clients that exceed the limits. Each listener is a test of its own and runs
+# alone, because the tests measure memory and descriptors of a process.
+add_executable(hostile_clients test/hostile/hostile_clients.cc
+  test/scenarios/fleet.cc)
+target_compile_options(hostile_clients PRIVATE ${SEQUOIALB_WARNINGS})
+target_compile_definitions(hostile_clients PRIVATE
+  SEQUOIALB_PROGRAMS="${CMAKE_BINARY_DIR}")
+target_link_libraries(hostile_clients PRIVATE sequoialb_platform libsequoialb
+  GTest::gtest_main)
+add_dependencies(hostile_clients sequoialb-platform)
+foreach(case Bodies_Front Bodies_Ready Bodies_Control Bodies_Metrics
+    Heads_Front Readers_Control Readers_Metrics
+    Descriptors_Front Descriptors_Ready Descriptors_Control Descriptors_Metrics)
+  string(TOLOWER "hostile_${case}" name)
+  string(REPLACE "_" "" test ${case})
+  add_test(NAME ${name} COMMAND hostile_clients
+    --gtest_filter=HostileClients.${test})
+  set_tests_properties(${name} PROPERTIES RUN_SERIAL TRUE TIMEOUT 120)
+endforeach()
