State how much a body decoder holds, and fuzz it with any bytes

The memory budget needs the bytes that a decoder holds and a bound of what it appends. BodyDecoder gains held_bytes() and MaxDecoded(). The new property feeds chunk sizes in all forms, extensions, trailers and long lines in random splits: the body, its end and the outcome are those of the whole, and the decoder never holds more than a line.

--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -7,10 +7,8 @@
 namespace sequoialb {
 namespace {
 
-// A longer chunk-size or trailer line is malformed.
 // Trailer fields are read and dropped; more than this is malformed.
 constexpr size_t kMaxTrailerBytes = 16'384;
-constexpr size_t kMaxChunkLine = 4'096;
 constexpr size_t kMaxChunkDigits = 15;
 
 char Lower(char c) {
@@ -354,10 +352,16 @@
   return used;
 }
 
+size_t BodyDecoder::MaxDecoded(size_t size) const {
+  return framing_ == BodyFraming::kLength
+             ? static_cast<size_t>(std::min<uint64_t>(remaining_, size))
+             : size;
+}
+
 // Adds `c` to the current line; returns true when the line ends with CR LF.
 bool BodyDecoder::FeedLine(char c) {
   line_.push_back(c);
-  if (line_.size() > kMaxChunkLine) {
+  if (line_.size() > kMaxLineBytes) {
     state_ = State::kMalformed;
     return false;
   }
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -113,11 +113,20 @@
   // consumed. Bytes after the end of the body are left alone.
   size_t Feed(std::string_view in, std::string& out);
 
+  // Returns how many bytes Feed can append at most for `size` bytes of input.
+  size_t MaxDecoded(size_t size) const;
+
   // Call when the peer has closed the connection in an orderly way. Returns
   // true if the body is complete.
   bool OnConnectionClosed();
 
   State state() const { return state_; }
+  // Memory allocated for an incomplete line: kMaxLineBytes at most, and up to
+  // twice that while it grows.
+  size_t held_bytes() const { return line_.capacity(); }
+
+  // A longer chunk-size or trailer line is malformed.
+  static constexpr size_t kMaxLineBytes = 4'096;
 
  private:
   enum class Part : uint8_t { kSize, kData, kDataEnd, kTrailer };
--- a/test/fuzz/http_fuzz.cc
+++ b/test/fuzz/http_fuzz.cc
@@ -80,6 +80,70 @@
   RC_ASSERT(used == wire.size());
 }
 
+// Draws bytes that a chunked decoder may meet from a client out of bounds:
+// chunk sizes in all forms, extensions, trailers, long lines and other bytes.
+std::string DrawChunkedBytes() {
+  const auto pieces = *rc::gen::container<std::vector<std::string>>(
+      rc::gen::elementOf(std::vector<std::string>{"0",
+                                                  "1",
+                                                  "5",
+                                                  "a",
+                                                  "F",
+                                                  "ffffffffffffffff",
+                                                  "8000000000000000",
+                                                  "-1",
+                                                  "+1",
+                                                  " ",
+                                                  ";ext=1",
+                                                  ";",
+                                                  "\r\n",
+                                                  "\r\n",
+                                                  "\r\n",
+                                                  "\r",
+                                                  "\n",
+                                                  "x",
+                                                  "hello",
+                                                  "1\r\nx\r\n",
+                                                  "5\r\nhello\r\n",
+                                                  "0\r\n\r\n",
+                                                  "Field: v",
+                                                  std::string(1'500, 'e'),
+                                                  std::string("\0", 1)}));
+  std::string bytes;
+  for (const std::string& piece : pieces) {
+    bytes += piece;
+  }
+  return bytes;
+}
+
+// Any split of any bytes gives the same body, end and outcome as the whole, and
+// the decoder never holds more than a line.
+void AnyBytesDoNotDependOnSplits() {
+  const auto framing = *rc::gen::element(
+      BodyFraming::kChunked, BodyFraming::kLength, BodyFraming::kUntilClose);
+  const uint64_t length = *rc::gen::inRange<uint64_t>(0, 40);
+  const std::string wire = DrawChunkedBytes();
+  BodyDecoder whole(framing, length);
+  std::string whole_body;
+  const size_t whole_used = whole.Feed(wire, whole_body);
+  BodyDecoder split(framing, length);
+  std::string body;
+  size_t used = 0;
+  while (used < wire.size() &&
+         split.state() == BodyDecoder::State::kIncomplete) {
+    const size_t size = *rc::gen::inRange<size_t>(1, 12);
+    const std::string_view next = std::string_view(wire).substr(used, size);
+    const size_t most = split.MaxDecoded(next.size());
+    const size_t before = body.size();
+    used += split.Feed(next, body);
+    RC_ASSERT(body.size() - before <= most);
+    RC_ASSERT(split.held_bytes() <= 2 * BodyDecoder::kMaxLineBytes);
+  }
+  RC_ASSERT(split.state() == whole.state());
+  RC_ASSERT(body == whole_body);
+  RC_ASSERT(used == whole_used);
+}
+
 void EventsDoNotDependOnSplits() {
   const int count = *rc::gen::inRange(0, 8);
   std::string wire;
@@ -118,6 +182,8 @@
       rc::check("never reads an ambiguous head", NeverReadsAnAmbiguousHead);
   good &=
       rc::check("chunks do not depend on splits", ChunksDoNotDependOnSplits);
+  good &= rc::check("any bytes do not depend on splits",
+                    AnyBytesDoNotDependOnSplits);
   good &=
       rc::check("events do not depend on splits", EventsDoNotDependOnSplits);
   return good ? 0 : 1;
