Bound the memory and connections of all listeners of sequoialb-platform

Cause: the settings memory_limit_mb and max_descriptors acted on nothing. 40 bodies that stop short of their end took a host with 64 MB to 119 MB (219 MB on the control listener), 24 clients that pipeline requests to the metrics listener and read nothing to 202 MB, 300 heads of many short fields to 84 MB, and 400 connections opened 427 descriptors of 160.

Change: the servers of a process share HttpResources with a ConnectionBudget. Each connection reports what it has allocated: unread input, the parsed head, the body, unsent output. Unfinished requests are refused with 503 when memory is short; the oldest idle or unfinished connection is closed when connections are short, and a listener that cannot accept waits instead of spinning. The next pipelined request is read only when the response before it has been read. Empty buffers are released, and a body allocates no more than its limit.

A body must advance by 1,024 bytes within each idle timeout. Until now a whole body had that time, so that a slow client within the limits was refused. A last response is no longer cut 500 ms after it was written while its client still reads it.

Ruled out: a count of bodies instead of bytes, which would refuse small requests; closing accepted requests, which may have run.

--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -1,5 +1,7 @@
 #include "fleet/fleet_host.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <future>
 
@@ -34,6 +36,18 @@
           limits.idle_timeout};
 }
 
+// Returns how many descriptors the process may open: the least of the setting,
+// if it is not 0, and the limit of the system.
+uint64_t DescriptorLimit(uint64_t setting) {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+      limit.rlim_cur == RLIM_INFINITY) {
+    return setting;
+  }
+  return setting == 0 ? limit.rlim_cur
+                      : std::min<uint64_t>(setting, limit.rlim_cur);
+}
+
 std::string WholeMs(Duration d) {
   return std::to_string(std::chrono::duration_cast<milliseconds>(d).count());
 }
@@ -219,15 +233,22 @@
     if (!address) {
       return {};
     }
-    auto opened =
-        HttpServer::Open(loop_, *address, limits, std::move(handler), metrics_);
+    auto opened = HttpServer::Open(loop_, *address, limits, std::move(handler),
+                                   metrics_, http_resources_);
     if (!opened) {
       return tl::unexpected<Error>(opened.error());
     }
     server = std::move(*opened);
     return {};
   };
+  const BudgetLimits budget = LimitsForProcess(
+      settings_.memory_limit_mb, DescriptorLimit(settings_.max_descriptors));
+  http_resources_ = std::make_shared<HttpResources>(budget);
+  LogInfo("client_limits",
+          {{"held_bytes", std::to_string(budget.bytes)},
+           {"connections", std::to_string(budget.connections)}});
   HttpServerLimits operator_limits;
+  operator_limits.clients = ClientKind::kOperator;
   operator_limits.max_body_bytes = kMaxOperatorBodyBytes;
   Status status = open(
       settings_.front, {}, [this](const auto& e) { OnFrontRequest(e); },
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -104,6 +104,8 @@
   std::unique_ptr<LoadReporter> load_reporter_;
   std::unique_ptr<JobHandler> job_handler_;
   std::unique_ptr<ControlHttpHandler> control_http_handler_;
+  // Shared by all servers.
+  std::shared_ptr<HttpResources> http_resources_;
   std::unique_ptr<HttpServer> front_server_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> control_server_;
--- a/src/http/tcp_stream.cc
+++ b/src/http/tcp_stream.cc
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr size_t kReadBytes = 16'384;
+// An empty buffer keeps at most this much memory, so that thousands of idle
+// connections do not each keep the size of their largest message.
+constexpr size_t kKeptBufferBytes = 1'024;
 // A connection fails when the peer acknowledges no sent data for this long.
 // This is shorter than the stall after which callers abandon a stream, so that
 // the stream can still be resumed in time.
@@ -24,13 +27,19 @@
 constexpr int kKeepAliveIntervalS = 1;
 constexpr int kKeepAliveProbes = 2;
 
+void ReleaseEmpty(std::string &buffer) {
+  if (buffer.empty() && buffer.capacity() > kKeptBufferBytes) {
+    std::string().swap(buffer);
+  }
+}
+
 void SetOption(int fd, int level, int option, int value) {
   ::setsockopt(fd, level, option, &value, sizeof(value));
 }
 
 }  // namespace
 
-TcpStream::TcpStream(EventLoop& loop, const Poco::Net::StreamSocket& socket,
+TcpStream::TcpStream(EventLoop &loop, const Poco::Net::StreamSocket &socket,
                      Callbacks callbacks)
     : loop_(loop),
       socket_(socket),
@@ -41,7 +50,7 @@
   loop_.Watch(socket_.impl()->sockfd(), this, true, false);
 }
 
-TcpStream::TcpStream(EventLoop& loop, const Address& address,
+TcpStream::TcpStream(EventLoop &loop, const Address &address,
                      Callbacks callbacks)
     : loop_(loop), callbacks_(std::move(callbacks)) {
   try {
@@ -49,9 +58,9 @@
     SetSocketOptions();
     wants_write_ = true;
     loop_.Watch(socket_.impl()->sockfd(), this, true, true);
-  } catch (const Poco::Net::ConnectionRefusedException&) {
+  } catch (const Poco::Net::ConnectionRefusedException &) {
     FailToConnect(StreamEnd::kRefused);
-  } catch (const Poco::Exception& e) {
+  } catch (const Poco::Exception &e) {
     LogWarn("connect_failed",
             {{"address", address.ToString()}, {"reason", e.displayText()}});
     FailToConnect(StreamEnd::kBroken);
@@ -108,6 +117,7 @@
   if (unsent() == 0) {
     output_.clear();
     output_sent_ = 0;
+    ReleaseEmpty(output_);
   }
   UpdateInterest();
 }
@@ -196,6 +206,9 @@
     input_.append(buffer.data(), static_cast<size_t>(got));
     const auto callback = callbacks_.on_input;
     callback();
+    if (alive.lock()) {
+      ReleaseEmpty(input_);
+    }
     return;
   }
   if (got == 0) {
--- a/src/http/tcp_stream.h
+++ b/src/http/tcp_stream.h
@@ -34,10 +34,10 @@
   };
 
   // Wraps an accepted connection.
-  TcpStream(EventLoop& loop, const Poco::Net::StreamSocket& socket,
+  TcpStream(EventLoop &loop, const Poco::Net::StreamSocket &socket,
             Callbacks callbacks);
   // Starts to connect; on_connected or on_end reports the result.
-  TcpStream(EventLoop& loop, const Address& address, Callbacks callbacks);
+  TcpStream(EventLoop &loop, const Address &address, Callbacks callbacks);
   ~TcpStream() override;
 
   void Write(std::string_view data);
@@ -46,8 +46,12 @@
   // Shuts down the sending direction; the stream can still be read.
   void ShutdownWrite();
 
-  std::string& input() { return input_; }
+  std::string &input() { return input_; }
   size_t unsent() const { return output_.size() - output_sent_; }
+  // Memory allocated for unread input and unsent output.
+  size_t buffered_bytes() const {
+    return input_.capacity() + output_.capacity();
+  }
   bool connected() const { return connected_; }
 
   // Pauses or resumes reading, so that a slow consumer limits buffered input.
@@ -64,7 +68,7 @@
   void UpdateInterest();
   void CloseAndNotify(StreamEnd end);
 
-  EventLoop& loop_;
+  EventLoop &loop_;
   Poco::Net::StreamSocket socket_;
   Callbacks callbacks_;
   std::string input_;
--- a/test/correctness/http_server_test.cc
+++ b/test/correctness/http_server_test.cc
@@ -19,6 +19,7 @@
     thread_.Run([this] {
       HttpServerLimits limits;
       limits.header_timeout = milliseconds(400);
+      limits.idle_timeout = milliseconds(2'000);
       auto opened = HttpServer::Open(
           thread_.loop(), {"127.0.0.1", 0}, limits,
           [this](const std::shared_ptr<HttpExchange>& exchange) {
@@ -205,5 +206,78 @@
   EXPECT_EQ(idle.ReadAll(), "");
 }
 
+// Guards against a time limit for a whole body: a client within the limits may
+// be slow, as long as its body advances within each idle timeout.
+TEST_F(HttpServerTest, ServesASlowBodyThatAdvances) {
+  constexpr int kPieces = 6;
+  const std::string piece(2'048, 'x');
+  RawClient client(port_);
+  client.Send(
+      "POST /slow HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+      "Content-Length: " +
+      std::to_string(kPieces * piece.size()) + "\r\n\r\n");
+  for (int i = 0; i < kPieces; ++i) {
+    std::this_thread::sleep_for(milliseconds(500));
+    client.Send(piece);
+  }
+  EXPECT_EQ(client.ReadAll().substr(0, 12), "HTTP/1.1 200");
+}
+
+// Guards against a client that keeps a request open with bytes that are not
+// body: chunk extensions with one byte of body after each.
+TEST_F(HttpServerTest, RefusesABodyThatHardlyAdvances) {
+  RawClient client(port_);
+  client.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string chunk = "1;" + std::string(2'000, 'e') + "\r\nx\r\n";
+  bool refused = false;
+  for (int i = 0; i < 300 && !refused; ++i) {
+    try {
+      client.Send(chunk);
+    } catch (const Poco::Exception&) {
+      refused = true;
+    }
+    std::this_thread::sleep_for(milliseconds(50));
+    refused |=
+        metrics_.counter("sequoialb_http_without_progress_total").value() > 0;
+  }
+  EXPECT_TRUE(refused);
+  EXPECT_TRUE(Targets().empty());
+}
+
+TEST_F(HttpServerTest, RefusesLengthsFarOverTheLimit) {
+  for (const auto& [length, status] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"9223372036854775808", "413"},
+           {"18446744073709551615", "413"},
+           {"18446744073709551616", "400"},
+           {"-1", "400"}}) {
+    RawClient client(port_);
+    client.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + length +
+                "\r\n\r\n");
+    EXPECT_EQ(client.ReadAll().substr(9, 3), status) << length;
+  }
+  EXPECT_TRUE(Targets().empty());
+}
+
+// Guards against cutting the last response of a connection after the time that
+// a closed connection lingers.
+TEST_F(HttpServerTest, ASlowReaderGetsAllOfTheLastResponse) {
+  RawClient slow(port_);
+  slow.Send("GET /hold HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  while (Targets().empty()) {
+  }
+  const std::string body(32U << 20U, 'x');
+  thread_.Run([&] { held_->Respond(200, {}, body); });
+  std::this_thread::sleep_for(milliseconds(1'000));
+  slow.ReadUntil("\r\n\r\n");
+  size_t received = 0;
+  for (std::string part = slow.ReadSome(); !part.empty();
+       part = slow.ReadSome()) {
+    received += part.size();
+  }
+  EXPECT_EQ(received, body.size());
+}
+
 }  // namespace
 }  // namespace sequoialb
