--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -81,6 +81,8 @@
       return;
     }
     stream_.Write(options_.request);
+    // The stream has a copy of what it has not sent.
+    std::string().swap(options_.request);
   }
 
   void Cancel() {
