Read the rest of a refused body, so that the caller sees the refusal

Cause of the failure in leader-killed. A host that refused a request before it had read the body kept the connection, and POCO took the rest of the body for the next request: it answered 400 to the batch's first line and closed with unread bytes, which resets the connection of a caller that is still writing. The refusal itself came from the key, which was not in force on h4 yet.

Ruled out: the time limits of the batch, and the killed leader (line 11 is before it is killed).

Each handler's rest is now read and dropped after the response has been sent, for all paths (callers, operators, announcements), up to the size that the path accepts (16 MiB at least) and for read_timeout. A connection whose body does not end then, or was chunked, is closed. ReadBody no longer drops a body that is too large before it sends the refusal.

--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -35,6 +35,7 @@
 constexpr int kMinThreads = 8;
 constexpr int kTlsVerificationDepth = 9;
 constexpr seconds kQueryTimeout{3};
+constexpr char kFilesPath[] = "/v1/files";
 constexpr char kItemsPath[] = "/v1/items/";
 constexpr char kAdminPath[] = "/admin/v1/";
 
@@ -166,6 +167,19 @@
   }
 }
 
+// Takes in the rest of a body that the response did not wait for. An upload may
+// be as large as a file. The time limit is the one for a silent caller, so a
+// refused body holds a thread for at most twice that time.
+void FinishRequest(const HttpLimits& limits, HTTPServerRequest& request,
+                   HTTPServerResponse& response) {
+  const uint64_t max_bytes = PathOf(request) == kFilesPath
+                                 ? limits.max_file_bytes
+                                 : limits.max_body_bytes;
+  if (!DiscardBody(request, max_bytes, Clock::now() + limits.read_timeout)) {
+    response.setKeepAlive(false);
+  }
+}
+
 class Handler : public HTTPRequestHandler {
  public:
   explicit Handler(EntryContext& context) : context_(context) {}
@@ -174,6 +188,7 @@
                      HTTPServerResponse& response) override {
     try {
       Dispatch(context_, request, response);
+      FinishRequest(context_.host.settings().http_limits, request, response);
     } catch (const Poco::Exception& e) {
       // The caller's connection ended, so no answer can be sent.
       LogDebug("caller_gone", {{"reason", e.displayText()}});
--- a/src/entry/http_io.cc
+++ b/src/entry/http_io.cc
@@ -14,32 +14,13 @@
 namespace {
 
 constexpr size_t kReadBufferBytes = 64U << 10U;
-constexpr size_t kMaxDiscardBytes = 16U << 20U;
+// Enough for callers that misjudge the limit of a body by a few times.
+constexpr uint64_t kMinDiscardBytes = 16U << 20U;
 constexpr int64_t kMsPerSecond = 1'000;
 constexpr char kBearerPrefix[] = "Bearer ";
 
 }  // namespace
 
-namespace {
-
-// Reads and drops the rest of a refused body, up to kMaxDiscardBytes. Closing a
-// connection with unread bytes resets it, and the caller would not see the
-// refusal.
-void Discard(std::istream& in) {
-  std::array<char, kReadBufferBytes> buffer{};
-  size_t dropped = 0;
-  try {
-    while (dropped < kMaxDiscardBytes &&
-           (in.read(buffer.data(), buffer.size()) || in.gcount() > 0)) {
-      dropped += static_cast<size_t>(in.gcount());
-    }
-  } catch (const Poco::Exception&) {
-    return;  // The caller has disconnected.
-  }
-}
-
-}  // namespace
-
 Result<std::string> ReadBody(Poco::Net::HTTPServerRequest& request,
                              uint64_t max_bytes) {
   const Error too_large{
@@ -47,7 +28,6 @@
       "the body is over the limit of " + std::to_string(max_bytes) + " bytes"};
   if (request.hasContentLength() &&
       static_cast<uint64_t>(request.getContentLength64()) > max_bytes) {
-    Discard(request.stream());
     return tl::unexpected<Error>(too_large);
   }
   std::string body;
@@ -57,7 +37,6 @@
     while (in.read(buffer.data(), buffer.size()) || in.gcount() > 0) {
       body.append(buffer.data(), static_cast<size_t>(in.gcount()));
       if (body.size() > max_bytes) {
-        Discard(in);
         return tl::unexpected<Error>(too_large);
       }
     }
@@ -73,6 +52,35 @@
   return body;
 }
 
+bool DiscardBody(Poco::Net::HTTPServerRequest& request, uint64_t max_bytes,
+                 TimePoint deadline) {
+  if (!request.hasContentLength() && !request.getChunkedTransferEncoding()) {
+    return true;  // The request has no body.
+  }
+  std::istream& in = request.stream();
+  if (in.eof()) {
+    return true;
+  }
+  std::array<char, kReadBufferBytes> buffer{};
+  const uint64_t limit = std::max(max_bytes, kMinDiscardBytes);
+  uint64_t dropped = 0;
+  try {
+    // One byte is awaited and then only what has arrived is taken, so that the
+    // deadline is checked after each receipt.
+    while (dropped < limit && Clock::now() < deadline &&
+           in.read(buffer.data(), 1)) {
+      dropped +=
+          1 + static_cast<uint64_t>(in.readsome(
+                  buffer.data(), static_cast<std::streamsize>(buffer.size())));
+    }
+  } catch (const Poco::Exception&) {
+    return false;  // The caller has disconnected or is silent.
+  }
+  // A form's parser may have read the end of a chunked body without a trace in
+  // the stream, so what follows one is not known to be the next request.
+  return in.eof() && !in.bad() && !request.getChunkedTransferEncoding();
+}
+
 std::string ProblemJson(const Error& error) {
   Json::Value problem;
   const std::string name(ErrorName(error.code));
@@ -90,7 +98,12 @@
   response.setStatusAndReason(
       static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
   response.setContentType(content_type);
-  response.sendBuffer(body.data(), body.size());
+  response.setContentLength64(static_cast<Poco::Int64>(body.size()));
+  // Sent now rather than when the request ends, which may be after the rest of
+  // a refused body. In response to HEAD the stream drops the body.
+  std::ostream& out = response.send();
+  out.write(body.data(), static_cast<std::streamsize>(body.size()));
+  out.flush();
 }
 
 void SendJson(Poco::Net::HTTPServerResponse& response, const std::string& json,
@@ -110,7 +123,7 @@
   if (error.code == ErrorCode::kTooLarge ||
       error.code == ErrorCode::kMalformed ||
       error.code == ErrorCode::kShuttingDown) {
-    // Unread bytes may follow, or the host is stopping.
+    // The end of the body may be unknown, or the host is stopping.
     response.setKeepAlive(false);
   }
   SendBody(response, ProblemJson(error), "application/problem+json",
--- a/src/entry/http_io.h
+++ b/src/entry/http_io.h
@@ -19,6 +19,15 @@
 Result<std::string> ReadBody(Poco::Net::HTTPServerRequest& request,
                              uint64_t max_bytes);
 
+// Reads and drops what a handler left unread of a request's body. Closing a
+// connection with unread bytes resets it, and a caller that is still writing
+// would not see the response; on a connection that stays open the bytes would
+// be taken for the next request. Ends after `max_bytes`, but not before 16 MiB,
+// or at the first receipt after `deadline`. Returns whether the connection can
+// carry another request.
+bool DiscardBody(Poco::Net::HTTPServerRequest& request, uint64_t max_bytes,
+                 TimePoint deadline);
+
 // Sends an error as application/problem+json with the members "code" and "run",
 // and with a Retry-After header if the delay is known.
 void SendError(Poco::Net::HTTPServerResponse& response, const Error& error);
