Distinguish a cold time that is not stated from none

Cause: the record of a backend server held 0 both when its announcement states no remaining cold time and when it states that the server is warm, so a restart could not be taken as cold unless its announcement says otherwise. A server that became cold again while it was still cold did not count as a change. Ruled out: a second field beside the first, which could contradict it. Change: cold_left_ms is optional (same encoding otherwise); a remaining cold time that grows is passed on like other changes.

--- a/src/fleet/backend_registry.cc
+++ b/src/fleet/backend_registry.cc
@@ -16,12 +16,15 @@
   return {record.started_unix_ms(), record.sequence()};
 }
 
+// Whether the next record of a server says the same as the last one. The
+// remaining cold time only falls until a server becomes cold again.
 bool SameButSequence(const proto::BackendRecord& a,
                      const proto::BackendRecord& b) {
   return a.address() == b.address() && a.service() == b.service() &&
          a.leaving() == b.leaving() && a.gone() == b.gone() &&
          a.slots() == b.slots() && a.started_unix_ms() == b.started_unix_ms() &&
-         (a.cold_left_ms() > 0) == (b.cold_left_ms() > 0);
+         (a.cold_left_ms() > 0) == (b.cold_left_ms() > 0) &&
+         b.cold_left_ms() <= a.cold_left_ms();
 }
 
 // Whether `next` replaces `current`, a record of the same server. A
--- a/test/correctness/fleet_test.cc
+++ b/test/correctness/fleet_test.cc
@@ -118,6 +118,26 @@
             (std::vector<std::string>{"a", "new"}));
 }
 
+// Guards against hosts that learn late of a server that has become cold again:
+// only changes are passed on immediately.
+TEST(BackendDirectory, AColdPeriodThatBeginsAgainIsAChange) {
+  BackendRegistry registry(1);
+  BackendDirectory directory;
+  const auto announce = [&](uint64_t sequence, uint32_t cold_left_ms) {
+    proto::BackendRecord record = Record("a", 100, sequence);
+    record.set_cold_left_ms(cold_left_ms);
+    const bool changed = registry.Announce(record, kNow);
+    EXPECT_EQ(directory.Merge(record, kNow), changed) << sequence;
+    return changed;
+  };
+  EXPECT_TRUE(announce(1, 5'000));
+  EXPECT_FALSE(announce(2, 3'800));
+  EXPECT_TRUE(announce(3, 5'000));
+  EXPECT_TRUE(announce(4, 0));
+  EXPECT_FALSE(announce(5, 0));
+  EXPECT_TRUE(announce(6, 5'000));
+}
+
 TEST(BackendDirectory, AnAddressBelongsToTheServerThatStartedLast) {
   BackendDirectory directory;
   directory.Merge(Record("new", 200, 1), kNow);
--- a/test/correctness/platform_adapter_test.cc
+++ b/test/correctness/platform_adapter_test.cc
@@ -81,6 +81,22 @@
   EXPECT_EQ(record.started_unix_ms(), 99);
 }
 
+// Guards against taking a server that does not state its cold time for one that
+// states that it is warm.
+TEST(ControlAdapter, DistinguishesColdTimeNotStatedFromNone) {
+  const ControlAdapter adapter;
+  const auto decode = [&](const std::string& cold) {
+    const auto request = adapter.Decode(
+        Head("PUT /sequoialb/instances/i-1"),
+        R"({"Service":"s","Addr":"10.0.0.9:80","Zone":"z","Slots":8,)" + cold +
+            R"("State":"ready","Seq":4,"born":99})");
+    return std::get<AnnounceBackend>(*request).record;
+  };
+  EXPECT_FALSE(decode("").has_cold_left_ms());
+  EXPECT_TRUE(decode(R"("ColdLeftMs":0,)").has_cold_left_ms());
+  EXPECT_EQ(decode(R"("ColdLeftMs":2500.5,)").cold_left_ms(), 2'500U);
+}
+
 TEST(ControlAdapter, RejectsInvalidAnnouncements) {
   const ControlAdapter adapter;
   for (const char* body :
