Limit the requests to cold backend servers

Cause: a recovered server is empty, so every front prefers it, while it sustains only its cold rate and crashes well above that. Ruled out: a rate divided among all fronts (less than one request per second for each of 28), and leases from the control leader (needed just when a failure domain is lost). BackendPool counts all sends and treats a cold server as at most one free slot. RecordSent takes the time.

--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -311,6 +311,14 @@
           {{"version", std::to_string(version)},
            {"routes", std::to_string(catalog->routes.size())},
            {"accounts", std::to_string(catalog->accounts.size())}});
+  cold_services_.clear();
+  for (const CatalogService& service : catalog->services) {
+    const Duration interval = ColdSendInterval(
+        service.cold_rate, settings_.cold_excess, settings_.cold_slack);
+    if (interval > Duration(0)) {
+      cold_services_[service.name] = {interval, service.cold_duration};
+    }
+  }
   auto index = std::make_shared<const CatalogIndex>(std::move(*catalog));
   loop_.Post([this, index] {
     front_->view.catalog = index;
@@ -341,10 +349,37 @@
   }
 }
 
+// Returns what is known of a server's cold period. `fronts` may be assigned to
+// the servers of its failure domain.
+ColdServer FleetHost::DescribeCold(const KnownBackend& known,
+                                   const std::vector<std::string>& fronts,
+                                   TimePoint now) {
+  const proto::BackendRecord& record = known.record;
+  ColdServer cold;
+  cold.as_of = now;
+  const auto service = cold_services_.find(record.service());
+  if (service == cold_services_.end()) {
+    return cold;
+  }
+  cold.send_interval = service->second.send_interval;
+  cold.duration = service->second.duration;
+  cold.announced_at = known.last_contact;
+  if (record.has_cold_left_ms()) {
+    cold.cold_until = known.last_contact + milliseconds(record.cold_left_ms());
+  }
+  const ColdOwners::Owner owner =
+      cold_owners_.OwnerOf(record.id(), record.failure_domain(), fronts, now);
+  if (owner.front == settings_.host) {
+    cold.owner_since = owner.since;
+  }
+  return cold;
+}
+
 // Passes the backend servers that accept work to the traffic thread, with
 // whether this front is the assigned front of each. The servers of a failure
 // domain are assigned in turn to the fronts of that domain, or to all fronts if
-// the domain has none.
+// the domain has none. While a server of a service with a cold rate is cold,
+// its owner is its assigned front.
 void FleetHost::PublishBackends(TimePoint now) {
   if (front_ == nullptr || member_ == nullptr) {
     return;
@@ -356,6 +391,8 @@
     fronts[front.failure_domain()].push_back(front.host());
     all_fronts.push_back(front.host());
   }
+  cold_owners_.SetLiveFronts(member_->last_confirmed_reply().live_fronts_hash(),
+                             now);
   std::vector<UsableBackend> usable;
   std::map<std::string, size_t> backends_per_domain;
   for (const KnownBackend* known :
@@ -380,12 +417,22 @@
     backend.slots = record.slots();
     backend.cold = record.cold_left_ms() > 0;
     backend.started_unix_ms = record.started_unix_ms();
+    backend.cold_server = DescribeCold(*known, candidate_fronts, now);
+    if (backend.cold_server.cold_until.value_or(now) > now) {
+      backend.assigned = backend.cold_server.owner_since.has_value();
+    }
     usable.push_back(std::move(backend));
   }
   loop_.Post([this, usable, count = all_fronts.size(),
               live = member_->last_confirmed_reply().live_fronts()] {
     load_reporter_->SetFronts(live);
-    front_->SetUsable(usable);
+    // The two threads use different clocks.
+    const Duration offset = loop_.now() - BootNow();
+    std::vector<UsableBackend> servers = usable;
+    for (UsableBackend& server : servers) {
+      server.cold_server.Shift(offset);
+    }
+    front_->SetUsable(servers);
     rate_limiter_->SetFronts(count);
     front_->pool.SetPeers(count > 0 ? count - 1 : 0);
     ScheduleDispatch();
@@ -578,6 +625,7 @@
   item_runner_->Report(report);
   if (loop_.now() >= next_summary_at_) {
     next_summary_at_ = loop_.now() + kSummaryInterval;
+    front_->UpdateMetrics();
     LogInfo("front_load",
             {{"pool", front_->pool.Summary(loop_.now())},
              {"items_held", std::to_string(report.in_hand_size())},
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -22,6 +23,7 @@
 #include "fleet/fleet_member.h"
 #include "fleet/fleet_settings.h"
 #include "fleet/load_reporter.h"
+#include "gateway/cold_limiter.h"
 #include "gateway/gateway.h"
 #include "gateway/rate_limiter.h"
 #include "http/http_server.h"
@@ -68,6 +70,9 @@
   void HandleMessage(const std::string& from,
                      const proto::FleetMessage& message);
   void PublishBackends(TimePoint now);
+  ColdServer DescribeCold(const KnownBackend& known,
+                          const std::vector<std::string>& fronts,
+                          TimePoint now);
   bool ApplyCatalog(uint64_t version, const std::string& content);
   void FillHello(proto::HostHello& hello);
   bool HandleTokenMessage(const std::string& from,
@@ -83,6 +88,12 @@
   void ReportCrashes(TimePoint now);
   void ScheduleDispatch();
 
+  // How a front treats the cold servers of one service.
+  struct ColdService {
+    Duration send_interval{0};
+    milliseconds duration{0};
+  };
+
   FleetSettings settings_;
   const GatewayProtocol& gateway_protocol_;
   const ControlProtocol& control_protocol_;
@@ -116,6 +127,9 @@
   TimePoint next_summary_at_;
   // Used on the control thread.
   TimePoint next_publish_at_;
+  // The services of the catalog that have a cold rate.
+  std::map<std::string, ColdService> cold_services_;
+  ColdOwners cold_owners_;
   std::vector<proto::TrialWanted> trials_wanted_;
 
   // Tasks posted to the control thread.
--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -46,6 +46,7 @@
     }
     load.backend = backend;
     load.usable = true;
+    cold_.Update(backend.id, backend.started_unix_ms, backend.cold_server);
     // A process with another start time, also an earlier one after its clock
     // was set back, has not said that it leaves.
     const auto left = leaving_.find(backend.id);
@@ -80,11 +81,17 @@
 }
 
 bool BackendPool::IsEligible(const Load& load, const std::string& service,
-                             TimePoint now) {
+                             TimePoint now) const {
   return load.usable && !load.leaving && load.backend.service == service &&
          !load.backoff.IsActive(now) &&
          !IsServerStalled(load.streaming, load.last_progress_at, load.mean_gap,
-                          now);
+                          now) &&
+         cold_.MaySend(load.backend.id, now);
+}
+
+double BackendPool::UsableSlots(const Load& load, TimePoint now) const {
+  const double slots = load.backend.slots;
+  return cold_.IsCold(load.backend.id, now) ? std::min(1.0, slots) : slots;
 }
 
 BackendPool::Tier BackendPool::TierOf(const Load& load) {
@@ -156,7 +163,7 @@
   const double wanted = peer_loads_.Waiting(now);
   double slots = 0;
   for (const auto& [id, load] : loads_) {
-    slots += load.usable && load.backend.assigned ? load.backend.slots : 0;
+    slots += load.usable && load.backend.assigned ? UsableSlots(load, now) : 0;
   }
   // One slot is left to items: where all servers together have no more slots
   // than the reserve, no item would ever run.
@@ -168,8 +175,9 @@
   double free = 0;
   for (const auto& [id, load] : loads_) {
     if (load.backend.assigned && IsEligible(load, load.backend.service, now)) {
-      free += std::max(
-          0.0, static_cast<double>(load.backend.slots) - BusySlots(load, now));
+      const double slots = load.backend.slots;
+      free +=
+          std::clamp(slots - BusySlots(load, now), 0.0, UsableSlots(load, now));
     }
   }
   return free;
@@ -189,7 +197,9 @@
     for (const auto& [id, load] : loads_) {
       const uint32_t items =
           remaining_items.count(id) > 0 ? remaining_items[id] : load.items;
-      if (load.usable && load.backend.assigned && items > most_items) {
+      // A slot freed at a cold server could not be used at once.
+      if (load.usable && load.backend.assigned && items > most_items &&
+          !cold_.IsCold(id, now)) {
         most = &load;
         most_items = items;
       }
@@ -271,6 +281,7 @@
          " assigned=" + std::to_string(assigned) +
          " avoided=" + std::to_string(avoided) +
          " leaving=" + std::to_string(leaving) +
+         " cold=" + std::to_string(cold_.ColdServers(now)) +
          " online=" + std::to_string(online) +
          " items=" + std::to_string(items) +
          " free=" + std::to_string(static_cast<int>(all_free)) +
@@ -292,7 +303,9 @@
          (load.backend.assigned ? " assigned" : " unassigned");
 }
 
-void BackendPool::RecordSent(const std::string& backend, bool item) {
+void BackendPool::RecordSent(const std::string& backend, bool item,
+                             TimePoint now) {
+  cold_.RecordSent(backend, now);
   Load& load = loads_[backend];
   if (load.backoff.RecordSent()) {
     LogInfo("backend_used_again",
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -21,7 +21,8 @@
 // whose streams have stalled gets none until it sends bytes again
 // (stall_policy.h). A server that has said in an answer that it leaves gets
 // none any more, also when its record is lost and comes back; a later start
-// under the same id is another process.
+// under the same id is another process. A cold server of a service with a cold
+// rate gets requests from one front only, at that rate (cold_limiter.h).
 //
 // A state machine without I/O other than logging.
 #pragma once
@@ -35,6 +36,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "gateway/cold_limiter.h"
 #include "gateway/peer_loads.h"
 #include "gateway/protocol.h"
 #include "gateway/server_backoff.h"
@@ -58,6 +60,7 @@
   // When this process of the server started; a restart under the same id has a
   // later time.
   int64_t started_unix_ms = 0;
+  ColdServer cold_server = {};
 };
 
 struct Choice {
@@ -96,7 +99,7 @@
   size_t FreeItemSlots(TimePoint now) const;
 
   // Counts a request that this front has sent. `item` marks a batch item.
-  void RecordSent(const std::string& backend, bool item);
+  void RecordSent(const std::string& backend, bool item, TimePoint now);
   // Counts the end of a request of this front. `streaming` says whether bytes
   // of its answer had been received.
   void RecordEnded(const std::string& backend, bool item, bool streaming);
@@ -136,6 +139,11 @@
   void RecordFailure(const std::string& backend, ServerFailure failure,
                      TimePoint now);
   void RecordSuccess(const std::string& backend);
+  // Records that a connection to the server was refused or ended early.
+  void RecordConnectionLost(const std::string& backend, TimePoint now) {
+    cold_.RecordConnectionLost(backend, now);
+  }
+  const ColdLimiter& cold() const { return cold_; }
 
   // Returns a server's known load, for logs: this front's online requests and
   // batch items, and the requests of others with the age of that report.
@@ -182,8 +190,11 @@
   // Returns the free slots of all assigned servers together.
   double AssignedFreeSlots(TimePoint now) const;
   // Returns whether the server may get new requests of the service.
-  static bool IsEligible(const Load& load, const std::string& service,
-                         TimePoint now);
+  bool IsEligible(const Load& load, const std::string& service,
+                  TimePoint now) const;
+  // Returns how many slots the server has for requests that start now: at most
+  // one while it is cold, since the next one waits for the server's cold rate.
+  double UsableSlots(const Load& load, TimePoint now) const;
   // Returns an estimate of the requests that other fronts have on the server.
   double RequestsOfOthers(const Load& load, TimePoint now) const;
   double BusySlots(const Load& load, TimePoint now) const;
@@ -191,6 +202,7 @@
   std::mt19937_64 random_;
   SpreadPolicy spread_;
   std::map<std::string, Load> loads_;
+  ColdLimiter cold_;
   // Servers that have said that they leave, with their start time.
   std::map<std::string, int64_t> leaving_;
   // Reading it at a later time drops reports that have become too old.
--- a/src/gateway/front_view.cc
+++ b/src/gateway/front_view.cc
@@ -27,6 +27,26 @@
   }
 }
 
+void FrontShared::RecordCallFailure(const std::string& backend,
+                                    CallFailure failure) {
+  const TimePoint now = loop.now();
+  pool.RecordFailure(backend, FailureOfCall(failure), now);
+  if (failure == CallFailure::kRefused || failure == CallFailure::kBroken) {
+    pool.RecordConnectionLost(backend, now);
+  }
+}
+
+void FrontShared::UpdateMetrics() {
+  const TimePoint now = loop.now();
+  const ColdLimiter& cold = pool.cold();
+  metrics.gauge("sequoialb_cold_backends")
+      .Set(static_cast<double>(cold.ColdServers(now)));
+  metrics.gauge("sequoialb_cold_backends_held")
+      .Set(static_cast<double>(cold.HeldServers(now)));
+  Counter& sent = metrics.counter("sequoialb_cold_sends_total");
+  sent.Add(cold.sent() - sent.value());
+}
+
 void FrontShared::SetUsable(const std::vector<UsableBackend>& usable) {
   pool.SetUsable(usable);
   std::vector<ServerProcess> servers;
--- a/src/gateway/front_view.h
+++ b/src/gateway/front_view.h
@@ -82,9 +82,15 @@
   void RecordServerState(const std::string& backend,
                          const BackendAnswer& answer);
 
+  // Records a call to a server that has failed.
+  void RecordCallFailure(const std::string& backend, CallFailure failure);
+
   // Sets the servers that accept work.
   void SetUsable(const std::vector<UsableBackend>& usable);
 
+  // Sets the metrics of the pool. Call once a second.
+  void UpdateMetrics();
+
   // Probes the servers of suspected crashes as far as this is due.
   void ProbeSuspects();
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -377,7 +377,7 @@
   if (request.trial) {
     LogTrial(request, "sent");
   }
-  front_.pool.RecordSent(choice.backend, false);
+  front_.pool.RecordSent(choice.backend, false, now);
   CallOptions options;
   options.request = ForwardedBytes(request, choice.backend,
                                    RemainingMs(request.deadline, now));
@@ -669,7 +669,7 @@
           request.last_progress_at != TimePoint() ? "yes" : "no"},
          {"load", front_.pool.Describe(backend, now)}});
   }
-  front_.pool.RecordFailure(backend, FailureOfCall(failure), now);
+  front_.RecordCallFailure(backend, failure);
   if (failure != CallFailure::kRefused) {
     // A server that refused the connection may start again: the pool's backoff
     // says when it is tried next.
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -161,7 +161,7 @@
   if (run.trial) {
     LogTrial(run, "sent");
   }
-  front_.pool.RecordSent(run.backend, true);
+  front_.pool.RecordSent(run.backend, true, front_.loop.now());
   CallOptions options;
   options.request = std::move(bytes);
   options.request_id_header = front_.protocol.request_id_header();
@@ -226,7 +226,7 @@
   if (run.trial && IsUnsent(failure)) {
     front_.trials.Return(front_.view.quarantines, run.shared_parts);
   }
-  front_.pool.RecordFailure(run.backend, FailureOfCall(failure), now);
+  front_.RecordCallFailure(run.backend, failure);
   if (failure == CallFailure::kRefused) {
     front_.crashes.RecordRefused(run.process.address, now);
   } else if (failure == CallFailure::kBroken) {
--- a/test/correctness/gateway_decisions_test.cc
+++ b/test/correctness/gateway_decisions_test.cc
@@ -33,7 +33,7 @@
       break;
     }
     ++sent[choice->backend];
-    pool.RecordSent(choice->backend, false);
+    pool.RecordSent(choice->backend, false, At(0));
   }
   EXPECT_EQ(sent["assigned"], 8);
   // On unassigned servers one slot stays free for requests that other fronts
@@ -47,9 +47,9 @@
   pool.SetUsable(
       {Server("remote", false, false), Server("assigned", true, true)});
   for (int i = 0; i < 7; ++i) {
-    pool.RecordSent("assigned", false);
+    pool.RecordSent("assigned", false, At(0));
   }
-  pool.RecordSent("assigned", true);
+  pool.RecordSent("assigned", true, At(0));
   const auto choice = pool.ChooseOnline("s", {}, At(0));
   ASSERT_TRUE(choice.has_value());
   EXPECT_EQ(choice->backend, "assigned");
@@ -64,7 +64,7 @@
   size_t started = 0;
   while (const auto choice = pool.ChooseItem("s", At(0))) {
     EXPECT_EQ(choice->backend, "assigned");
-    pool.RecordSent(choice->backend, true);
+    pool.RecordSent(choice->backend, true, At(0));
     ++started;
   }
   EXPECT_EQ(started, 6U);
@@ -82,7 +82,7 @@
     const auto choice = pool.ChooseOnline("s", {}, At(30));
     ASSERT_TRUE(choice.has_value());
     EXPECT_EQ(choice->backend, "b");
-    pool.RecordSent("b", false);
+    pool.RecordSent("b", false, At(0));
   }
   EXPECT_FALSE(pool.ChooseOnline("s", {}, At(30)).has_value());
   // The load report of an unresponsive front expires.
@@ -97,8 +97,8 @@
   pool.SetUsable({Server("h1", true, true), Server("h2", true, true)});
   pool.SetPeers(2);
   for (int i = 0; i < 7; ++i) {
-    pool.RecordSent("h1", true);
-    pool.RecordSent("h2", i < 3);
+    pool.RecordSent("h1", true, At(0));
+    pool.RecordSent("h2", i < 3, At(0));
   }
   EXPECT_TRUE(pool.ItemsToStop(At(0)).empty());
   pool.RecordPeerLoad("front-2", {{}, 8}, At(0));
@@ -198,8 +198,8 @@
   BackendPool pool;
   pool.SetUsable(
       {Server("stalling", true, true), Server("healthy", true, false)});
-  pool.RecordSent("stalling", false);
-  pool.RecordSent("stalling", true);
+  pool.RecordSent("stalling", false, At(0));
+  pool.RecordSent("stalling", true, At(0));
   // A request without an answer may just be queued, so the server is not
   // stalled.
   EXPECT_EQ(pool.ChooseOnline("s", {}, At(400))->backend, "stalling");
@@ -223,7 +223,7 @@
 TEST(BackendPool, AServerWithInfrequentEventsIsNotStalled) {
   BackendPool pool;
   pool.SetUsable({Server("slow", true, true)});
-  pool.RecordSent("slow", false);
+  pool.RecordSent("slow", false, At(0));
   pool.RecordProgress("slow", true, At(0));
   for (int event = 1; event <= 8; ++event) {
     pool.RecordProgress("slow", false, At(event * 500));
--- a/test/correctness/gateway_test.cc
+++ b/test/correctness/gateway_test.cc
@@ -363,7 +363,7 @@
   Open(RouteKind::kIdempotent, {&good});
   thread_.Run([this] {
     for (int i = 0; i < 4; ++i) {
-      front_->pool.RecordSent("e1", false);
+      front_->pool.RecordSent("e1", false, thread_.loop().now());
     }
   });
   RawClient client(server_->port());
--- a/test/correctness/load_report_test.cc
+++ b/test/correctness/load_report_test.cc
@@ -211,7 +211,7 @@
 
 TEST_F(LoadReporterTest, EveryFrontLearnsTheRequestsOfAllOthers) {
   for (auto& [host, node] : nodes_) {
-    node.pool->RecordSent("near", false);
+    node.pool->RecordSent("near", false, At(0));
   }
   Round(At(0));
   // The first sums of the relays were made before all reports had arrived.
@@ -227,7 +227,7 @@
     for (int i = 0; i < 2; ++i) {
       EXPECT_TRUE(node.pool->ChooseOnline("s", {"far"}, now, true).has_value())
           << host;
-      node.pool->RecordSent("near", false);
+      node.pool->RecordSent("near", false, now);
     }
     EXPECT_FALSE(node.pool->ChooseOnline("s", {"far"}, now, true).has_value())
         << host;
--- a/test/correctness/spread_test.cc
+++ b/test/correctness/spread_test.cc
@@ -120,7 +120,7 @@
     }
     ++outcome_.sent;
     outcome_.queued += busy_[choice->backend] >= kSlots ? 1 : 0;
-    pool.RecordSent(choice->backend, false);
+    pool.RecordSent(choice->backend, false, now_);
     ++busy_[choice->backend];
     under_way_.push_back({front, choice->backend, ms + kHoldMs});
   }
