--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -333,6 +333,14 @@
           {{"version", std::to_string(version)},
            {"routes", std::to_string(catalog->routes.size())},
            {"accounts", std::to_string(catalog->accounts.size())}});
+  cold_services_.clear();
+  for (const CatalogService& service : catalog->services) {
+    const Duration interval = ColdSendInterval(
+        service.cold_rate, settings_.cold_excess, settings_.cold_slack);
+    if (interval > Duration(0)) {
+      cold_services_[service.name] = {interval, service.cold_duration};
+    }
+  }
   auto index = std::make_shared<const CatalogIndex>(std::move(*catalog));
   loop_.Post([this, index] {
     front_->view.catalog = index;
@@ -364,9 +372,36 @@
   }
 }
 
+// Returns what is known of a server's cold period. `fronts` may be assigned to
+// the servers of its failure domain.
+ColdServer FleetHost::DescribeCold(const KnownBackend& known,
+                                   const std::vector<std::string>& fronts,
+                                   TimePoint now) {
+  const proto::BackendRecord& record = known.record;
+  ColdServer cold;
+  cold.as_of = now;
+  const auto service = cold_services_.find(record.service());
+  if (service == cold_services_.end()) {
+    return cold;
+  }
+  cold.send_interval = service->second.send_interval;
+  cold.duration = service->second.duration;
+  cold.announced_at = known.last_contact;
+  if (record.has_cold_left_ms()) {
+    cold.cold_until = known.last_contact + milliseconds(record.cold_left_ms());
+  }
+  const ColdOwners::Owner owner =
+      cold_owners_.OwnerOf(record.id(), record.failure_domain(), fronts, now);
+  if (owner.front == settings_.host) {
+    cold.owner_since = owner.since;
+  }
+  return cold;
+}
+
 // Passes the backend servers that accept work to the traffic thread, with
 // whether this front is the assigned front of each (assignment_policy.h). Those
-// of evacuated failure domains are left out.
+// of evacuated failure domains are left out. While a server of a service with a
+// cold rate is cold, its owner is its assigned front.
 void FleetHost::PublishBackends(TimePoint now) {
   if (front_ == nullptr || member_ == nullptr) {
     return;
@@ -384,6 +419,7 @@
       {confirmed.live_fronts().begin(), confirmed.live_fronts().end()},
       server_domains, evacuated);
   const bool self_evacuated = evacuated.count(settings_.failure_domain) > 0;
+  cold_owners_.SetLiveFronts(confirmed.live_fronts_hash(), now);
   std::vector<UsableBackend> usable;
   std::map<std::string, std::string> evacuated_backends;
   std::map<std::string, size_t> backends_per_domain;
@@ -414,6 +450,10 @@
     backend.slots = record.slots();
     backend.cold = record.cold_left_ms() > 0;
     backend.started_unix_ms = record.started_unix_ms();
+    backend.cold_server = DescribeCold(*known, candidates, now);
+    if (backend.cold_server.cold_until.value_or(now) > now) {
+      backend.assigned = backend.cold_server.owner_since.has_value();
+    }
     usable.push_back(std::move(backend));
   }
   loop_.Post([this, usable, evacuated, evacuated_backends,
@@ -421,7 +461,13 @@
               live = confirmed.live_fronts(),
               version = confirmed.evacuations_version()] {
     load_reporter_->SetFronts(live);
-    front_->SetUsable(usable);
+    // The two threads use different clocks.
+    const Duration offset = loop_.now() - BootNow();
+    std::vector<UsableBackend> servers = usable;
+    for (UsableBackend& server : servers) {
+      server.cold_server.Shift(offset);
+    }
+    front_->SetUsable(servers);
     ApplyEvacuations(version, evacuated, evacuated_backends);
     rate_limiter_->SetFronts(count);
     front_->pool.SetPeers(count > 0 ? count - 1 : 0);
@@ -649,6 +695,7 @@
       .Set(static_cast<double>(EvacuatedRequests()));
   if (loop_.now() >= next_summary_at_) {
     next_summary_at_ = loop_.now() + kSummaryInterval;
+    front_->UpdateMetrics();
     LogInfo("front_load",
             {{"pool", front_->pool.Summary(loop_.now())},
              {"items_held", std::to_string(report.in_hand_size())},
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -24,6 +24,7 @@
 #include "fleet/fleet_member.h"
 #include "fleet/fleet_settings.h"
 #include "fleet/load_reporter.h"
+#include "gateway/cold_limiter.h"
 #include "gateway/gateway.h"
 #include "gateway/rate_limiter.h"
 #include "http/http_server.h"
@@ -70,6 +71,9 @@
   void HandleMessage(const std::string& from,
                      const proto::FleetMessage& message);
   void PublishBackends(TimePoint now);
+  ColdServer DescribeCold(const KnownBackend& known,
+                          const std::vector<std::string>& fronts,
+                          TimePoint now);
   bool ApplyCatalog(uint64_t version, const std::string& content);
   void FillHello(proto::HostHello& hello);
   bool HandleTokenMessage(const std::string& from,
@@ -92,6 +96,12 @@
   // evacuated failure domains.
   size_t EvacuatedRequests() const;
 
+  // How a front treats the cold servers of one service.
+  struct ColdService {
+    Duration send_interval{0};
+    milliseconds duration{0};
+  };
+
   FleetSettings settings_;
   const GatewayProtocol& gateway_protocol_;
   const ControlProtocol& control_protocol_;
@@ -130,6 +140,9 @@
   std::atomic<uint64_t> evacuations_applied_{0};
   // Used on the control thread.
   TimePoint next_publish_at_;
+  // The services of the catalog that have a cold rate.
+  std::map<std::string, ColdService> cold_services_;
+  ColdOwners cold_owners_;
   std::vector<proto::TrialWanted> trials_wanted_;
 
   // Tasks posted to the control thread.
