Replay shorter requests at cold servers

Cause: with requests of 750 ms the eight slots of a cold server limited its rate, so the replay also passed when each front used the whole bound.

--- a/test/correctness/cold_servers_test.cc
+++ b/test/correctness/cold_servers_test.cc
@@ -30,7 +30,8 @@
 constexpr int kServers = 112;
 constexpr uint32_t kSlots = 8;
 constexpr int kQueued = 24;
-constexpr int kHoldMs = 750;
+// Short, so that the slots of a cold server do not limit its rate.
+constexpr int kHoldMs = 300;
 constexpr int kStepMs = 10;
 // A front receives records and lists with its heartbeats.
 constexpr int kHeartbeatMs = 250;
