Disconnect a caller that does not read before its server stays unread for long

A front stops reading from a server while more than 256 KB of its answer wait for the caller, and went on only when all of them had been sent. A server aborts a response that stays unread for some seconds.

Now reading goes on when half has been sent, a pause ends the request after 2 s (64 KB a second), and a paused request is never sent again. Ruled out: no pause with an unlimited buffer, which moves the server's data into the front's memory.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -22,6 +22,10 @@
 // With more bytes than this not yet sent to a caller, its server is no longer
 // read from.
 constexpr size_t kMaxUnsent = 262'144;
+// A caller must read half of that (64 KB a second) before its server has not
+// been read from for this long. Servers abort responses that stay unread for
+// some seconds, which would look like a failure of the server.
+constexpr milliseconds kMaxPause{2'000};
 // After this wait a request may take the last free slot of an unassigned
 // server. By then two load reports of every other front have arrived.
 constexpr milliseconds kUseLastSlotAfter{60};
@@ -118,7 +122,10 @@
 
   bool head_forwarded = false;
   bool is_event_stream = false;
+  // The caller has not read enough, and the server is not read from until then.
   bool paused = false;
+  // When a paused request ends.
+  TimePoint pause_ends_at;
   EventParser parser;
   std::optional<uint64_t> last_event;
 };
@@ -134,6 +141,7 @@
       broken_(front.metrics.counter("sequoialb_requests_broken_total")),
       resumed_(front.metrics.counter("sequoialb_streams_resumed_total")),
       caller_left_(front.metrics.counter("sequoialb_requests_abandoned_total")),
+      slow_callers_(front.metrics.counter("sequoialb_slow_callers_total")),
       first_event_(front.metrics.latency("sequoialb_first_byte_seconds")),
       waited_(front.metrics.latency("sequoialb_wait_seconds")) {}
 
@@ -424,7 +432,8 @@
   const bool response_allows =
       !request.head_forwarded ||
       (request.is_event_stream && request.route->resumable);
-  return run_allows && response_allows &&
+  // A caller that does not read its response would not read another one.
+  return run_allows && response_allows && !request.paused &&
          request.attempts < request.route->attempts &&
          front_.loop.now() < request.deadline;
 }
@@ -577,13 +586,35 @@
   }
   if (request.exchange->unsent() > kMaxUnsent && !request.paused) {
     request.paused = true;
+    request.pause_ends_at = front_.loop.now() + kMaxPause;
     request.call->Pause(true);
-    request.exchange->OnDrained([&request] {
-      if (request.paused && request.call != nullptr) {
-        request.paused = false;
-        request.call->Pause(false);
-      }
-    });
+    request.exchange->OnDrained([&request] { Resume(request); });
+  }
+}
+
+void Gateway::Resume(Request& request) {
+  if (request.paused && request.call != nullptr) {
+    request.paused = false;
+    request.call->Pause(false);
+  }
+}
+
+void Gateway::CheckPaused(TimePoint now) {
+  std::vector<Request*> too_slow;
+  for (const auto& [number, request] : requests_) {
+    if (!request->paused) {
+      continue;
+    }
+    if (request->exchange->unsent() <= kMaxUnsent / 2) {
+      Resume(*request);
+    } else if (now >= request->pause_ends_at) {
+      too_slow.push_back(request.get());
+    }
+  }
+  for (Request* request : too_slow) {
+    slow_callers_.Add();
+    End(*request, {ErrorCode::kCancelled,
+                   "the caller does not read its response", RunState::kRan});
   }
 }
 
@@ -718,6 +749,7 @@
 
 void Gateway::CheckStalls() {
   const TimePoint now = front_.loop.now();
+  CheckPaused(now);
   std::vector<Request*> stalled;
   for (const auto& [number, request] : requests_) {
     if (HasStalled(*request, now)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -52,7 +52,8 @@
   // quarantines have changed.
   void EndQuarantined();
 
-  // Retries at other servers the requests whose servers have stalled.
+  // Retries at other servers the requests whose servers have stalled, and ends
+  // those whose callers do not read.
   void CheckStalls();
 
   size_t waiting() const { return queue_.size(); }
@@ -81,6 +82,9 @@
   void ForwardEvents(Request& request, std::string_view data);
   void OnComplete(Request& request);
   void OnFailure(Request& request, CallFailure failure);
+  static void Resume(Request& request);
+  // Ends the requests whose callers have been too slow for too long.
+  void CheckPaused(TimePoint now);
   bool HasStalled(const Request& request, TimePoint now) const;
   void OnDeadline(Request& request);
   // Ends the current attempt: drops its call and frees its slot in the pool.
@@ -118,6 +122,7 @@
   Counter& broken_;
   Counter& resumed_;
   Counter& caller_left_;
+  Counter& slow_callers_;
   LatencyHistogram& first_event_;
   LatencyHistogram& waited_;
 };
--- a/test/correctness/gateway_test.cc
+++ b/test/correctness/gateway_test.cc
@@ -504,6 +504,12 @@
     EXPECT_LT(answer.size(), 10'000U);
   }
 
+  size_t Busy() {
+    size_t busy = 0;
+    thread_.Run([&] { busy = server_->busy(); });
+    return busy;
+  }
+
   void ScheduleStallChecks() {
     thread_.Run([this] { CheckStallsRepeatedly(); });
   }
@@ -553,5 +559,28 @@
   EXPECT_EQ(good.requests, 1);
 }
 
+// A server must not be left unread because of its caller: it would abort its
+// response some seconds later, and the response would begin elsewhere for a
+// caller that does not read. The request ends long before its deadline of 9 s.
+TEST_F(EndlessStreamTest, ACallerThatDoesNotReadIsDisconnected) {
+  fakes::EndlessServer endless_server(
+      "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nResponse-Stamp: s\r\n"
+      "Content-Length: 67108864\r\n\r\n",
+      std::string(65'536, 'x'));
+  ScriptedServer good(kOkResponse);
+  Open(RouteKind::kIdempotent, {&endless_server, &good});
+  ScheduleStallChecks();
+  RawClient caller(server_->port());
+  caller.Send(
+      "POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q\r\n"
+      "Content-Length: 1\r\n\r\nx");
+  while (endless_server.requests == 0 || Busy() > 0) {
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  EXPECT_EQ(metrics_.counter("sequoialb_slow_callers_total").value(), 1U);
+  EXPECT_EQ(good.requests, 0);
+  EXPECT_LT(endless_server.sent, fakes::EndlessServer::kMaxBytes);
+}
+
 }  // namespace
 }  // namespace sequoialb
