Free the bytes of a request once its connection has a copy

A request body of 4 MB was held three times while it was sent: by its exchange, by the call's options and by the connection's output. The options are not read again, so they are released. http_client_test 19 of 19 and gateway_test 28 of 28 pass.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -80,6 +80,8 @@
       });
     }
     stream_.Write(options_.request);
+    // The stream has a copy of what it has not sent.
+    std::string().swap(options_.request);
   }
 
   void Cancel() {
