Test sequoialbd with clients that trickle their heads

sequoialbd waits for each head on a thread, and its read timeout starts again with each byte. 32 clients that send a byte every 200 ms therefore keep 16 threads for as long as they like.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -36,7 +36,7 @@
   SEQUOIALB_PROGRAMS="${CMAKE_BINARY_DIR}")
 target_link_libraries(hostile_clients PRIVATE sequoialb_platform libsequoialb
   GTest::gtest_main)
-add_dependencies(hostile_clients sequoialb-platform)
+add_dependencies(hostile_clients sequoialb-platform sequoialbd)
 foreach(case Bodies_Front Bodies_Ready Bodies_Control Bodies_Metrics
     Heads_Front Readers_Control Readers_Metrics
     Descriptors_Front Descriptors_Ready Descriptors_Control Descriptors_Metrics)
@@ -46,3 +46,6 @@
     --gtest_filter=HostileClients.${test})
   set_tests_properties(${name} PROPERTIES RUN_SERIAL TRUE TIMEOUT 120)
 endforeach()
+add_test(NAME hostile_daemon_heads COMMAND hostile_clients
+  --gtest_filter=HostileClientsOfDaemon.TricklesHeads)
+set_tests_properties(hostile_daemon_heads PROPERTIES RUN_SERIAL TRUE TIMEOUT 120)
--- a/test/hostile/hostile_clients.cc
+++ b/test/hostile/hostile_clients.cc
@@ -9,8 +9,10 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <atomic>
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 #include "../fakes/fleet_fixture.h"
 #include "../scenarios/fleet.h"
@@ -350,5 +352,60 @@
   Check([&] { return AskMetrics(); });
 }
 
+// Guards against a sequoialbd whose threads all wait for clients that send one
+// byte of a head from time to time: a byte restarts its read timeout, so that
+// it serves no one else.
+TEST(HostileClientsOfDaemon, TricklesHeads) {
+  constexpr int kConnections = 16;
+  constexpr int kClients = 32;
+  constexpr milliseconds kByteInterval{200};
+  const auto folder =
+      std::filesystem::temp_directory_path() / ("hostile_" + RandomHex(8));
+  {
+    scenario::Fleet fleet(SEQUOIALB_PROGRAMS, folder.string());
+    fleet.MakeHosts(1, 1, 1,
+                    "  \"http_limits\": {\"max_connections\": " +
+                        std::to_string(kConnections) + "},\n",
+                    false, false);
+    fleet.Start("h1");
+    const Address address = *ParseAddress(fleet.At("h1").http);
+    const auto is_answered = [&] {
+      const TimePoint limit = Clock::now() + fakes::kWaitTimeout;
+      while (Call(address, "GET /healthz").status != 200) {
+        if (Clock::now() >= limit) {
+          return false;
+        }
+        std::this_thread::sleep_for(milliseconds(50));
+      }
+      return true;
+    };
+    ASSERT_TRUE(is_answered());
+    std::atomic<bool> stopping{false};
+    std::thread crowd([&] {
+      std::vector<std::unique_ptr<fakes::RawClient>> clients;
+      for (int i = 0; i < kClients; ++i) {
+        clients.push_back(std::make_unique<fakes::RawClient>(address));
+      }
+      for (std::string next = "GET /healthz HTTP/1.1\r\nX: "; !stopping;
+           next = "x") {
+        for (const auto& client : clients) {
+          try {
+            client->Send(next);
+          } catch (const Poco::Exception&) {
+            // The process has closed this connection.
+          }
+        }
+        std::this_thread::sleep_for(kByteInterval);
+      }
+    });
+    std::this_thread::sleep_for(kSettleTime);
+    EXPECT_TRUE(is_answered());
+    stopping = true;
+    crowd.join();
+    EXPECT_FALSE(fleet.PollExitCode("h1").has_value());
+  }
+  std::filesystem::remove_all(folder);
+}
+
 }  // namespace
 }  // namespace sequoialb
