Learn the speed of backend servers and place requests by it

Servers of one service differ in speed, and some slow down before their slots are full. Counting free slots sends a slow server as many requests as a fast one, and most of those are late.

Each front measures the time between two events of a stream, which depends neither on the length of the prompt nor on its cached part, and compares it with the fast quarter of the service's servers. Fronts report what they observe in FrontLoad.speed_percent, in a fixed unit, so that a front whose own servers are all slow notices it. A slow assigned server is not preferred to other local ones; one whose callers would be late comes last; a server that is slow only above a concurrency gets a limit in place of its slots. A first event of a slow server is waited for longer before the request is sent to another one: without this nearly all requests at slow servers were sent twice.

Off with learn_server_speed=false. The pool does not learn unless it is told to, so the existing tests of it run the earlier behavior.

--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -153,6 +153,7 @@
     job_client_ = std::make_unique<JobClient>(*links_, *member_);
     front_ = std::make_unique<FrontShared>(loop_, metrics_, gateway_protocol_);
     front_->trials.SetSelf(settings_.host, incarnation_);
+    front_->pool.LearnSpeeds(settings_.learn_server_speed);
     item_runner_ = std::make_unique<ItemRunner>(
         *front_, incarnation_, [this](const proto::ItemOutcome& outcome) {
           PostControl(
@@ -582,6 +583,11 @@
             {{"pool", front_->pool.Summary(loop_.now())},
              {"items_held", std::to_string(report.in_hand_size())},
              {"waiting", std::to_string(gateway_->waiting())}});
+    const BackendPool::SpeedCounts counts = front_->pool.CountSpeeds();
+    metrics_.gauge("sequoialb_limited_servers")
+        .Set(static_cast<double>(counts.limited));
+    metrics_.gauge("sequoialb_slow_servers")
+        .Set(static_cast<double>(counts.slow));
   }
   PostControl([this, report] {
     const TimePoint boot_now = BootNow();
--- a/src/fleet/load_reporter.cc
+++ b/src/fleet/load_reporter.cc
@@ -12,6 +12,9 @@
 // Reports to other failure domains are sent at most this often.
 constexpr milliseconds kMinDomainInterval{60};
 
+// Higher speeds are not told apart. It bounds what another host may send.
+constexpr uint32_t kMaxSpeedPercent = 10'000;
+
 // The source under which the report of a failure domain is recorded. Host names
 // contain no slash.
 std::string DomainSource(const std::string& failure_domain) {
@@ -26,6 +29,18 @@
     auto& entry = *encoded.add_loads();
     entry.set_backend(backend);
     entry.set_requests(requests);
+    const auto speed = report.speeds.find(backend);
+    if (speed != report.speeds.end()) {
+      entry.set_speed_percent(speed->second.percent());
+    }
+  }
+  // A server that was observed may have no request left.
+  for (const auto& [backend, speed] : report.speeds) {
+    if (report.requests.count(backend) == 0) {
+      auto& entry = *encoded.add_loads();
+      entry.set_backend(backend);
+      entry.set_speed_percent(speed.percent());
+    }
   }
   return encoded;
 }
@@ -35,7 +50,13 @@
   report.waiting = encoded.waiting();
   report.fronts = std::max<uint32_t>(1, encoded.fronts());
   for (const auto& entry : encoded.loads()) {
-    report.requests[entry.backend()] = entry.requests();
+    if (entry.requests() > 0) {
+      report.requests[entry.backend()] = entry.requests();
+    }
+    if (entry.speed_percent() > 0) {
+      report.speeds[entry.backend()] = {
+          std::min(entry.speed_percent(), kMaxSpeedPercent), 1};
+    }
   }
   return report;
 }
@@ -70,6 +91,9 @@
   LoadReport own;
   own.requests = pool_.OwnRequests();
   own.waiting = waiting;
+  // A changed speed alone does not make a report due: requests start and end
+  // more often, and an unchanged report is sent again soon.
+  own.speeds = pool_.OwnSpeeds(now);
   if (!domain_peers_.empty() &&
       TakeIfDue(own, milliseconds(0), now, own_sent_)) {
     send_(domain_peers_, Encode(own));
--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -22,6 +22,11 @@
 // Servers that have left are remembered up to this number; ids are rarely used
 // again.
 constexpr size_t kMaxLeaving = 4'096;
+// Observations of speeds are taken in this often: the first gaps of a change
+// are known after 40 to 160 ms. Each time costs one pass over all servers.
+constexpr milliseconds kSpeedRefreshInterval{100};
+// A change of a server's speed is logged at most this often for each server.
+constexpr milliseconds kSpeedLogInterval{5'000};
 // The newest gap changes the mean gap by one part in this many.
 constexpr int kMeanGapDivisor = 8;
 
@@ -44,6 +49,9 @@
       LogInfo("backend_used_again",
               {{"backend", backend.id}, {"reason", "it has started again"}});
     }
+    if (restarted) {
+      load.speed = ServerSpeed();
+    }
     load.backend = backend;
     load.usable = true;
     // A process with another start time, also an earlier one after its clock
@@ -101,39 +109,49 @@
 std::optional<Choice> BackendPool::ChooseOnline(
     const std::string& service, const std::set<std::string>& avoid,
     TimePoint now, bool use_last_slot) {
+  RefreshSpeeds(now);
   std::vector<const Load*> best;
+  Rank best_rank;
   std::vector<double> free_slots;
   const Load* stoppable = nullptr;
+  bool stoppable_slow = false;
   for (const auto& [id, load] : loads_) {
     if (!IsEligible(load, service, now) || avoid.count(id) > 0) {
       continue;
     }
-    const auto slots = static_cast<double>(load.backend.slots);
+    const double slots = CapacityOf(load);
     const double busy = BusySlots(load, now);
+    const Rank rank = RankOf(load, now);
     const double reserve =
         load.backend.assigned || use_last_slot ? 0 : kUnassignedReserve;
     const double free = slots - busy - reserve;
     if (free < 1) {
       const bool fits =
           load.items > 0 && busy - static_cast<double>(load.items) + 1 <= slots;
-      if (fits && (stoppable == nullptr || load.items > stoppable->items)) {
+      if (fits &&
+          (stoppable == nullptr || rank.slow < stoppable_slow ||
+           (rank.slow == stoppable_slow && load.items > stoppable->items))) {
         stoppable = &load;
+        stoppable_slow = rank.slow;
       }
       continue;
     }
-    if (!best.empty() && TierOf(load) > TierOf(*best.front())) {
+    if (!best.empty() && best_rank < rank) {
       continue;
     }
-    if (!best.empty() && TierOf(load) < TierOf(*best.front())) {
+    if (!best.empty() && rank < best_rank) {
       best.clear();
       free_slots.clear();
     }
+    best_rank = rank;
     best.push_back(&load);
-    free_slots.push_back(free);
+    free_slots.push_back(free * SpeedOf(load, now));
   }
-  // Stopping a batch item is preferred to using a remote server.
+  // Stopping a batch item is preferred to using a remote or slow server.
   const bool remote = !best.empty() && !best.front()->backend.local;
-  if (stoppable != nullptr && (best.empty() || remote)) {
+  if (stoppable != nullptr &&
+      (best.empty() || (best_rank.slow && !stoppable_slow) ||
+       (remote && best_rank.slow == stoppable_slow))) {
     return ChoiceOf(stoppable->backend, true);
   }
   if (best.empty()) {
@@ -168,8 +186,7 @@
   double free = 0;
   for (const auto& [id, load] : loads_) {
     if (load.backend.assigned && IsEligible(load, load.backend.service, now)) {
-      free += std::max(
-          0.0, static_cast<double>(load.backend.slots) - BusySlots(load, now));
+      free += std::max(0.0, CapacityOf(load) - BusySlots(load, now));
     }
   }
   return free;
@@ -220,16 +237,16 @@
     return std::nullopt;
   }
   const Load* best = nullptr;
-  double best_free = 0;
+  double best_weight = 0;
   for (const auto& [id, load] : loads_) {
     if (!IsEligible(load, service, now) || !load.backend.assigned) {
       continue;
     }
-    const double free =
-        static_cast<double>(load.backend.slots) - BusySlots(load, now);
-    if (free >= 1 && (best == nullptr || free > best_free)) {
+    const double free = CapacityOf(load) - BusySlots(load, now);
+    const double weight = free * SpeedOf(load, now);
+    if (free >= 1 && (best == nullptr || weight > best_weight)) {
       best = &load;
-      best_free = free;
+      best_weight = weight;
     }
   }
   if (best == nullptr) {
@@ -261,8 +278,7 @@
     avoided += load.backoff.IsActive(now) ? 1 : 0;
     online += load.online;
     items += load.items;
-    const double free = std::max(
-        0.0, static_cast<double>(load.backend.slots) - BusySlots(load, now));
+    const double free = std::max(0.0, CapacityOf(load) - BusySlots(load, now));
     all_free += free;
     assigned += load.backend.assigned ? 1 : 0;
     assigned_free += load.backend.assigned ? free : 0;
@@ -335,6 +351,132 @@
   load.others =
       std::max(0.0, static_cast<double>(report.running) + report.waiting - own);
   load.reported_at = now;
+  if (learn_speeds_ && report.work_percent) {
+    load.speed.RecordWork(*report.work_percent, now);
+  }
+}
+
+void BackendPool::RecordGap(const std::string& backend, Duration gap,
+                            Duration target, TimePoint now) {
+  if (!learn_speeds_) {
+    return;
+  }
+  Load& load = loads_[backend];
+  load.speed.RecordGap(gap, BusySlots(load, now), target, now);
+  RefreshSpeeds(now);
+}
+
+void BackendPool::RecordFirstEvent(const std::string& backend, Duration time,
+                                   uint64_t prompt_tokens, Duration target,
+                                   TimePoint now) {
+  if (!learn_speeds_) {
+    return;
+  }
+  Load& load = loads_[backend];
+  load.speed.RecordFirstEvent(time, prompt_tokens, BusySlots(load, now),
+                              load.backend.slots, target, now);
+}
+
+double BackendPool::Speed(const std::string& backend, TimePoint now) const {
+  const auto found = loads_.find(backend);
+  return found == loads_.end() ? 1 : SpeedOf(found->second, now);
+}
+
+std::map<std::string, ReportedSpeed> BackendPool::OwnSpeeds(
+    TimePoint now) const {
+  std::map<std::string, ReportedSpeed> speeds;
+  for (const auto& [id, load] : loads_) {
+    const uint32_t percent = learn_speeds_ ? load.speed.OwnPercent(now) : 0;
+    if (percent > 0) {
+      speeds[id] = {percent, 1};
+    }
+  }
+  return speeds;
+}
+
+BackendPool::SpeedCounts BackendPool::CountSpeeds() const {
+  SpeedCounts counts;
+  for (const auto& [id, load] : loads_) {
+    const bool counted = load.usable && learn_speeds_;
+    counts.limited += counted && load.speed.limited() ? 1 : 0;
+    counts.slow += counted && load.speed.slow() ? 1 : 0;
+  }
+  return counts;
+}
+
+double BackendPool::CapacityOf(const Load& load) const {
+  return learn_speeds_ ? load.speed.limit(load.backend.slots)
+                       : static_cast<double>(load.backend.slots);
+}
+
+double BackendPool::SpeedOf(const Load& load, TimePoint now) const {
+  return learn_speeds_ ? load.speed.speed(now) : 1;
+}
+
+BackendPool::Rank BackendPool::RankOf(const Load& load, TimePoint now) const {
+  Rank rank{learn_speeds_ && load.speed.IsSlow(now), TierOf(load)};
+  if (learn_speeds_ && load.speed.slow() && rank.tier < Tier::kLocal) {
+    rank.tier = Tier::kLocal;
+  }
+  if (rank.slow && load.backend.assigned && load.online + load.items == 0 &&
+      RequestsOfOthers(load, now) < 1 && load.speed.IsProbeDue(now)) {
+    rank.slow = false;
+  }
+  return rank;
+}
+
+void BackendPool::RefreshSpeeds(TimePoint now) {
+  const Duration elapsed = now - speeds_refreshed_at_;
+  if (!learn_speeds_ || elapsed < kSpeedRefreshInterval) {
+    return;
+  }
+  speeds_refreshed_at_ = now;
+  peer_loads_.Expire(now);
+  const std::map<std::string, ReportedSpeed> speeds = peer_loads_.Speeds();
+  const auto reported = [&](const std::string& id) {
+    const auto found = speeds.find(id);
+    return found == speeds.end() ? ReportedSpeed() : found->second;
+  };
+  std::map<std::string, std::vector<Duration>> gaps;
+  for (const auto& [id, load] : loads_) {
+    const auto gap = load.speed.ObservedGap(reported(id), now);
+    if (load.usable && gap) {
+      gaps[load.backend.service].push_back(*gap);
+    }
+  }
+  for (auto& [service, observed] : gaps) {
+    Duration& reference = reference_gaps_[service];
+    reference = ReferenceGap(std::move(observed), reference, elapsed);
+  }
+  for (auto& [id, load] : loads_) {
+    const auto reference = reference_gaps_.find(load.backend.service);
+    if (load.usable && reference != reference_gaps_.end()) {
+      load.speed.Refresh(reference->second, reported(id), BusySlots(load, now),
+                         load.backend.slots, load.backend.assigned, now);
+      LogSpeed(load, now);
+    }
+  }
+}
+
+void BackendPool::LogSpeed(Load& load, TimePoint now) {
+  const bool slow = load.speed.slow();
+  const auto limit = static_cast<uint32_t>(CapacityOf(load));
+  const uint32_t logged =
+      load.logged_limit == 0 ? load.backend.slots : load.logged_limit;
+  if ((slow == load.logged_slow && limit == logged) || now < load.next_log_at) {
+    return;
+  }
+  load.logged_slow = slow;
+  load.logged_limit = limit;
+  load.next_log_at = now + kSpeedLogInterval;
+  LogInfo("backend_speed",
+          {{"backend", load.backend.id},
+           {"class", slow ? "slow" : "usual"},
+           {"speed_percent",
+            std::to_string(std::lround(100 * load.speed.speed(now)))},
+           {"limit", std::to_string(limit)},
+           {"slots", std::to_string(load.backend.slots)},
+           {"load", Describe(load.backend.id, now)}});
 }
 
 bool BackendPool::RecordLeaving(const std::string& backend) {
@@ -356,9 +498,22 @@
   loads_[backend].backoff.RecordFull(now);
 }
 
+void BackendPool::RecordRefused(const std::string& backend, TimePoint now) {
+  Load& load = loads_[backend];
+  load.backoff.RecordFull(now);
+  if (learn_speeds_) {
+    load.speed.RecordRefused(BusySlots(load, now), load.backend.slots, now);
+  }
+}
+
 void BackendPool::RecordFailure(const std::string& backend,
                                 ServerFailure failure, TimePoint now) {
-  ServerBackoff& backoff = loads_[backend].backoff;
+  Load& load = loads_[backend];
+  if (learn_speeds_ && (failure == ServerFailure::kBroken ||
+                        failure == ServerFailure::kStalled)) {
+    load.speed.RecordTruncated(BusySlots(load, now), load.backend.slots, now);
+  }
+  ServerBackoff& backoff = load.backoff;
   if (backoff.RecordFailure(now)) {
     LogInfo("backend_avoided",
             {{"backend", backend},
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -16,6 +16,10 @@
 // then the other local servers, then remote ones. Unassigned servers must have
 // a slot to spare, and requests are spread among them (spread_policy.h).
 //
+// Servers differ in speed. With LearnSpeeds, a server's learned limit takes the
+// place of its slots, its free slots count by its speed, and a slow server is
+// used only when all others are full (server_speed.h).
+//
 // A server that cannot be reached or does not complete an answer gets no new
 // requests for a backoff time that doubles with each failure. A server all of
 // whose streams have stalled gets none until it sends bytes again
@@ -38,6 +42,7 @@
 #include "gateway/peer_loads.h"
 #include "gateway/protocol.h"
 #include "gateway/server_backoff.h"
+#include "gateway/server_speed.h"
 #include "gateway/spread_policy.h"
 #include "quarantine/crash_recorder.h"
 #include "settings/settings.h"
@@ -81,6 +86,9 @@
 
   void SetUsable(const std::vector<UsableBackend>& usable);
 
+  // Sets whether the speeds of servers are learned; they are not by default.
+  void LearnSpeeds(bool learn) { learn_speeds_ = learn; }
+
   // Returns the server for an online request, or nothing while all are full.
   // With `use_last_slot` the request may take the last free slot of an
   // unassigned server, which is otherwise kept free for requests that other
@@ -103,6 +111,24 @@
   // Records that a part of an answer has been received; `first` says whether it
   // was the first part of that answer.
   void RecordProgress(const std::string& backend, bool first, TimePoint now);
+  // Records the time between two events of a stream. `target` is the latency
+  // target of its route, 0 if it has none.
+  void RecordGap(const std::string& backend, Duration gap, Duration target,
+                 TimePoint now);
+  // Records the time from sending a request to its first event.
+  void RecordFirstEvent(const std::string& backend, Duration time,
+                        uint64_t prompt_tokens, Duration target, TimePoint now);
+  // Returns the learned speed of a server; 1 is usual.
+  double Speed(const std::string& backend, TimePoint now) const;
+  // Returns the speeds of servers that this front has observed by itself.
+  std::map<std::string, ReportedSpeed> OwnSpeeds(TimePoint now) const;
+  // Returns how many usable servers have a limit below their slots, and how
+  // many are slow.
+  struct SpeedCounts {
+    size_t limited = 0;
+    size_t slow = 0;
+  };
+  SpeedCounts CountSpeeds() const;
   // Returns whether all answers that the server has begun for this front have
   // stalled.
   bool IsStalled(const std::string& backend, TimePoint now) const;
@@ -131,7 +157,10 @@
   // Records that the server has said that it leaves. Returns false if that was
   // known.
   bool RecordLeaving(const std::string& backend);
-  // Records that the server refused a request because it was full.
+  // Records that the server refused a request without running it.
+  void RecordRefused(const std::string& backend, TimePoint now);
+  // Records that the server seems to be full: it has not begun to answer a
+  // request in time.
   void RecordFull(const std::string& backend, TimePoint now);
   void RecordFailure(const std::string& backend, ServerFailure failure,
                      TimePoint now);
@@ -162,6 +191,12 @@
     double others = 0;
     TimePoint reported_at;
     ServerBackoff backoff;
+    ServerSpeed speed;
+    // The speed class and limit of the last log line, and when the next may
+    // follow.
+    bool logged_slow = false;
+    uint32_t logged_limit = 0;
+    TimePoint next_log_at;
   };
 
   // Order of preference: assigned servers, then other servers of this front's
@@ -175,6 +210,23 @@
     kRemoteCold
   };
   static Tier TierOf(const Load& load);
+  // Slow servers come after all others, in the same order.
+  struct Rank {
+    bool slow = false;
+    Tier tier = Tier::kAssigned;
+
+    bool operator<(const Rank& other) const {
+      return slow != other.slow ? other.slow : tier < other.tier;
+    }
+  };
+  Rank RankOf(const Load& load, TimePoint now) const;
+
+  // Returns how many requests the server can run at once.
+  double CapacityOf(const Load& load) const;
+  double SpeedOf(const Load& load, TimePoint now) const;
+  // Takes in the observations of all servers, if this is due.
+  void RefreshSpeeds(TimePoint now);
+  void LogSpeed(Load& load, TimePoint now);
 
   // Returns how many slots batch items leave free on all assigned servers
   // together.
@@ -196,6 +248,10 @@
   // Reading it at a later time drops reports that have become too old.
   mutable PeerLoads peer_loads_;
   size_t peers_ = 0;
+  bool learn_speeds_ = false;
+  // The usual time between two events of a stream, by service.
+  std::map<std::string, Duration> reference_gaps_;
+  TimePoint speeds_refreshed_at_;
 };
 
 }  // namespace sequoialb
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -119,6 +119,8 @@
   bool head_forwarded = false;
   bool is_event_stream = false;
   bool paused = false;
+  // Reading was paused since the last event.
+  bool was_paused = false;
   EventParser parser;
   std::optional<uint64_t> last_event;
 };
@@ -472,7 +474,7 @@
     if (answer.other_server) {
       front_.pool.RecordFailure(backend, ServerFailure::kOtherServer, now);
     } else {
-      front_.pool.RecordFull(backend, now);
+      front_.pool.RecordRefused(backend, now);
     }
     Release(request);
     RetryOrEnd(request,
@@ -521,6 +523,19 @@
   }
 }
 
+void Gateway::RecordSpeed(const Request& request) {
+  const TimePoint now = front_.loop.now();
+  const Duration target = request.route->latency_target;
+  if (request.has_event) {
+    front_.pool.RecordGap(request.backend, now - request.last_progress_at,
+                          target, now);
+  } else if (request.attempts == 1) {
+    // A resumed stream may repeat events that were skipped.
+    front_.pool.RecordFirstEvent(request.backend, now - request.sent_at,
+                                 request.caller.prompt_tokens, target, now);
+  }
+}
+
 void Gateway::CountSurvivor(Request& request) {
   if (!request.survived && !request.caller.shared_parts.empty()) {
     request.survived = true;
@@ -577,6 +592,7 @@
   }
   if (request.exchange->unsent() > kMaxUnsent && !request.paused) {
     request.paused = true;
+    request.was_paused = true;
     request.call->Pause(true);
     request.exchange->OnDrained([&request] {
       if (request.paused && request.call != nullptr) {
@@ -590,7 +606,7 @@
 void Gateway::ForwardEvents(Request& request, std::string_view data) {
   request.parser.Add(data);
   std::string whole;
-  bool progress = false;
+  size_t events = 0;
   while (auto event = request.parser.Next()) {
     // Skips events that the caller has already received.
     const bool repeated =
@@ -598,11 +614,17 @@
     if (repeated) {
       continue;
     }
-    progress = progress || event->id || !event->data.empty();
+    events += event->id || !event->data.empty() ? 1 : 0;
     request.last_event = event->id ? event->id : request.last_event;
     whole += event->raw;
   }
-  if (progress) {
+  if (events > 0) {
+    // Events that are read together, or after a pause for a slow caller, say
+    // nothing about the time between them.
+    if (events == 1 && !request.was_paused) {
+      RecordSpeed(request);
+    }
+    request.was_paused = request.paused;
     request.has_event = true;
     RecordProgress(request);
   }
@@ -706,7 +728,8 @@
   const TimePoint stalls_at =
       front_.pool.IsStalled(request.backend, now)
           ? request.sent_at + kMinStallTime
-          : FirstEventStallsAt(*request.route, request.sent_at);
+          : FirstEventStallsAt(*request.route, request.sent_at,
+                               front_.pool.Speed(request.backend, now));
   if (now < stalls_at) {
     return false;
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -74,6 +74,9 @@
                              int64_t left_ms) const;
   void OnHead(Request& request, const ResponseHead& head);
   void RecordProgress(Request& request);
+  // Records the time to the event that has just been received, as an
+  // observation of the server's speed.
+  void RecordSpeed(const Request& request);
   void CountSurvivor(Request& request);
   void ForwardHead(Request& request, const ResponseHead& head);
   void OnData(Request& request, std::string_view data);
--- a/src/gateway/peer_loads.cc
+++ b/src/gateway/peer_loads.cc
@@ -18,6 +18,9 @@
   }
   waiting += other.waiting;
   fronts += other.fronts;
+  for (const auto& [backend, speed] : other.speeds) {
+    speeds[backend].Add(speed);
+  }
 }
 
 void PeerLoads::Record(const std::string& source, LoadReport report,
@@ -73,6 +76,16 @@
   return found == totals_.end() ? 0 : found->second;
 }
 
+std::map<std::string, ReportedSpeed> PeerLoads::Speeds() const {
+  std::map<std::string, ReportedSpeed> speeds;
+  for (const auto& [source, entry] : reports_) {
+    for (const auto& [backend, speed] : entry.report.speeds) {
+      speeds[backend].Add(speed);
+    }
+  }
+  return speeds;
+}
+
 LoadReport PeerLoads::Sum(const std::vector<std::string>& sources) const {
   LoadReport sum;
   sum.fronts = 0;
--- a/src/gateway/peer_loads.h
+++ b/src/gateway/peer_loads.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "gateway/server_speed.h"
 
 namespace sequoialb {
 
@@ -27,6 +28,8 @@
   uint32_t waiting = 0;
   // How many fronts the report covers.
   uint32_t fronts = 1;
+  // The speeds that these fronts have observed, by backend server.
+  std::map<std::string, ReportedSpeed> speeds{};
 
   // Adds the counts of another report.
   void Add(const LoadReport& other);
@@ -49,6 +52,9 @@
   // Returns how many fronts the current reports cover.
   size_t fronts() const { return fronts_; }
 
+  // Returns the speeds of all current reports together, by backend server.
+  std::map<std::string, ReportedSpeed> Speeds() const;
+
   // Returns the sum of the current reports of the given sources.
   LoadReport Sum(const std::vector<std::string>& sources) const;
 
--- a/src/gateway/stall_policy.h
+++ b/src/gateway/stall_policy.h
@@ -60,12 +60,17 @@
 }
 
 // Returns when a request that was sent at `sent_at` and has had no event is
-// late enough to be retried at another server.
-inline TimePoint FirstEventStallsAt(const Route& route, TimePoint sent_at) {
-  return sent_at +
-         std::max<Duration>(kMinStallTime,
-                            std::chrono::duration_cast<Duration>(
-                                route.latency_target * kFirstEventFraction));
+// late enough to be retried at another server. `speed` is the learned speed of
+// its server, 1 is usual. A slower server is given more time, at most the
+// latency target: its requests would otherwise nearly all be sent twice, which
+// takes the slots that the slow servers have left short.
+inline TimePoint FirstEventStallsAt(const Route& route, TimePoint sent_at,
+                                    double speed = 1) {
+  const double fraction =
+      std::min(1.0, kFirstEventFraction / std::clamp(speed, 0.1, 1.0));
+  return sent_at + std::max<Duration>(kMinStallTime,
+                                      std::chrono::duration_cast<Duration>(
+                                          route.latency_target * fraction));
 }
 
 }  // namespace sequoialb
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -269,7 +269,7 @@
     front_.pool.RecordFailure(run.backend, ServerFailure::kOtherServer, now);
     run.status_outcome = proto::ItemOutcome::kReturned;
   } else if (answer.not_run) {
-    front_.pool.RecordFull(run.backend, now);
+    front_.pool.RecordRefused(run.backend, now);
     run.status_outcome = proto::ItemOutcome::kReturned;
   } else if (head.status == kStatusNeverPossible) {
     run.status_outcome = proto::ItemOutcome::kNeverPossible;
@@ -287,7 +287,7 @@
     return;
   }
   run.parser.Add(data);
-  bool progress = false;
+  size_t events = 0;
   while (auto event = run.parser.Next()) {
     const bool repeated =
         event->id && run.last_event && *event->id <= *run.last_event;
@@ -299,10 +299,16 @@
     }
     run.output += event->data;
     run.last_event = event->id;
-    progress = true;
+    ++events;
   }
-  if (progress) {
-    run.last_progress_at = front_.loop.now();
+  if (events > 0) {
+    const TimePoint now = front_.loop.now();
+    // Events that are read together say nothing about the time between them.
+    if (events == 1 && run.received_data) {
+      front_.pool.RecordGap(run.backend, now - run.last_progress_at,
+                            Duration(0), now);
+    }
+    run.last_progress_at = now;
     front_.pool.RecordProgress(run.backend, !run.received_data,
                                run.last_progress_at);
     front_.crashes.RecordAlive(run.backend, run.last_progress_at);
