Serve callers that return after a refusal after new ones

New callers were refused for the sake of retries.

A returning caller now gets one slot after four of new callers. The first one that can still be in time is then served next, so that new callers do not overtake it for ever.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -356,7 +356,7 @@
     return;
   }
   if (request.waiting) {
-    queue_.Remove(request.number);
+    queue_.RecordServed(request.number);
     request.waiting = false;
   }
   waited_.Observe(now - request.arrived_at);
@@ -748,6 +748,7 @@
   entry.service = request.service;
   entry.account = request.account;
   entry.priority = request.route->priority;
+  entry.returning = request.returning;
   entry.send_by =
       request.arrived_at + request.route->latency_target - kFirstEventTime;
   const WaitLimits limits =
@@ -763,7 +764,8 @@
           ? entry.expires_at
           : std::min(entry.expires_at, request.arrived_at + limits.admitted);
   if (!request.head_forwarded &&
-      CannotMeetDeadline(CurrentServiceRate(), queue_.Ahead(now),
+      CannotMeetDeadline(CurrentServiceRate(),
+                         queue_.Ahead(request.returning, now),
                          admitted_until - now)) {
     RefuseOverloaded(request);
     return;
--- a/src/gateway/waiting_queue.h
+++ b/src/gateway/waiting_queue.h
@@ -4,7 +4,9 @@
 // requests arrive than can be served in time. Serving them first come, first
 // served would make every request late. The queue first serves, in order of
 // arrival, the requests that can still meet their latency target; those that
-// have missed it follow as long as serving them is still useful. A request that
+// have missed it follow as long as serving them is still useful. Callers that
+// return after a refusal get one slot for several of new callers, whose timely
+// answers are worth more. A request that
 // has waited so long that a slot would no longer help its caller is refused at
 // once and not held until its deadline. Among requests of equal rank, accounts
 // take turns. A pure state machine over request numbers.
@@ -26,6 +28,8 @@
   std::string service;
   std::string account;
   int priority = 0;
+  // The caller was refused before and has come back.
+  bool returning = false;
   // The latest time to send the request so that it meets its latency target.
   TimePoint send_by;
   // From then on a slot no longer helps the caller.
@@ -36,13 +40,16 @@
  public:
   void Add(WaitingRequest request);
   void Remove(uint64_t request);
+  // Removes a request that has got a slot.
+  void RecordServed(uint64_t request);
 
   // Returns the requests in the order in which they should get slots.
   std::vector<uint64_t> Order(TimePoint now) const;
 
   // Returns how many requests would get a slot before one that arrives now.
-  // Requests that have missed their latency target would not.
-  size_t Ahead(TimePoint now) const;
+  // Requests that have missed their latency target would not, and few of
+  // returning callers would before a new one.
+  size_t Ahead(bool returning, TimePoint now) const;
 
   // Removes and returns the requests that have expired and must be refused.
   std::vector<uint64_t> TakeExpired(TimePoint now);
@@ -52,6 +59,8 @@
 
  private:
   std::deque<WaitingRequest> waiting_;
+  // How many requests of new callers got slots since one of a returning caller.
+  int64_t new_since_returning_ = 0;
 };
 
 }  // namespace sequoialb
--- a/test/correctness/contention_test.cc
+++ b/test/correctness/contention_test.cc
@@ -69,6 +69,8 @@
   // While requests wait at several fronts, a front takes the last slot of an
   // unassigned server only if its own request has freed it.
   bool own_slots = false;
+  // Callers that return after a refusal get fewer slots than new ones.
+  bool new_first = false;
 };
 
 struct Counts {
@@ -405,14 +407,18 @@
     if (!policy_.ranked) {
       entry.account = "";
     }
+    entry.returning = policy_.new_first && request.returning;
     const WaitLimits limits = policy_.limits(request.returning);
     const TimePoint deadline = At(request.first_at + kDeadlineMs);
     entry.expires_at = std::min(deadline, arrived_at + limits.held);
     const TimePoint admitted_until =
         std::min(entry.expires_at, arrived_at + limits.admitted);
     if (policy_.limit_by_rate &&
-        CannotMeetDeadline(Rate(front), front.queue.Ahead(At(now_)),
-                           admitted_until - At(now_))) {
+        CannotMeetDeadline(
+            Rate(front),
+            front.queue.Ahead(!policy_.new_first || request.returning,
+                              At(now_)),
+            admitted_until - At(now_))) {
       Refuse(number);
       return;
     }
@@ -475,7 +481,7 @@
         continue;
       }
       if (TrySend(number)) {
-        front.queue.Remove(number);
+        front.queue.RecordServed(number);
       } else if (!avoids) {
         full = true;
       }
@@ -577,9 +583,9 @@
   return WaitLimitsOf(returning, milliseconds(kTargetMs));
 }
 
-const Policy kPresent{"present", false, true, Present, true, true};
+const Policy kPresent{"present", false, true, Present, true, true, true};
 // The product before this replay was written.
-const Policy kEarlier{"earlier", false, true, Earlier, true, false};
+const Policy kEarlier{"earlier", false, true, Earlier, true, false, false};
 const Policy kFirstCome{
     "first come, first served", false, false,
     [](bool) -> WaitLimits {
--- a/test/correctness/gateway_decisions_test.cc
+++ b/test/correctness/gateway_decisions_test.cc
@@ -327,6 +327,38 @@
   EXPECT_LT(ServedInTime(true), 25U);
 }
 
+// Guards against retries that take the slots of first attempts, and against
+// callers with short deadlines, which look like retries, getting none.
+TEST(WaitingQueueTest, ReturningCallersFollowFourNewOnes) {
+  WaitingQueue queue;
+  for (uint64_t i = 0; i < 10; ++i) {
+    WaitingRequest entry;
+    entry.request = i;
+    entry.returning = i < 2;
+    entry.send_by = At(200);
+    entry.expires_at = At(600);
+    queue.Add(entry);
+  }
+  EXPECT_EQ(queue.Order(At(0)),
+            (std::vector<uint64_t>{2, 3, 4, 5, 0, 6, 7, 8, 9, 1}));
+  EXPECT_EQ(queue.Ahead(false, At(0)), 10U);
+  for (uint64_t i = 2; i < 6; ++i) {
+    queue.RecordServed(i);
+  }
+  // Callers that come later do not overtake it again.
+  WaitingRequest later;
+  later.request = 10;
+  later.account = "other";
+  later.send_by = At(200);
+  queue.Add(later);
+  EXPECT_EQ(queue.Order(At(0)).front(), 0U);
+  queue.RecordServed(0);
+  EXPECT_EQ(queue.Order(At(0)).front(), 6U);
+  EXPECT_EQ(queue.Order(At(0)).back(), 1U);
+  EXPECT_EQ(queue.Ahead(true, At(0)), 6U);
+  EXPECT_EQ(queue.Ahead(false, At(300)), 0U);
+}
+
 // Guards against a front that never gets a slot because the last ones are
 // left to the fronts that free them.
 TEST(AdmissionPolicy, OnlyAFrontWithoutSlotsTakesTheLastOneOfOthers) {
@@ -377,7 +409,8 @@
       const ServiceRate rate{busy.size(), milliseconds(700)};
       const bool too_late =
           busy.size() == 8 &&
-          CannotMeetDeadline(rate, queue.Ahead(At(now)), milliseconds(600));
+          CannotMeetDeadline(rate, queue.Ahead(false, At(now)),
+                             milliseconds(600));
       if (!refuse_early || !too_late) {
         arrived[number] = now;
         queue.Add(Waiting(number++, now));
--- a/test/correctness/overload_test.cc
+++ b/test/correctness/overload_test.cc
@@ -117,13 +117,15 @@
 
   void Enqueue(const Request& request) {
     const WaitLimits limits = policy_.limits(request.returning);
-    if (CannotMeetDeadline(Rate(), queue_.Ahead(At(now_)), limits.admitted)) {
+    if (CannotMeetDeadline(Rate(), queue_.Ahead(request.returning, At(now_)),
+                           limits.admitted)) {
       Refuse(request);
       return;
     }
     WaitingRequest entry;
     entry.request = requests_.size();
     entry.service = "s";
+    entry.returning = request.returning;
     entry.send_by = At(now_ + kInTimeMs);
     entry.expires_at = At(now_) + limits.held;
     requests_.push_back(request);
