Search for the leader at all replicas, so that a resumed host is confirmed soon

Cause of the failure in withdrawn-while-frozen. A resumed host took its own pause for silence of the leader: its first heartbeats went to one replica after the other, 250 ms each, and a replica that does not lead only named the leader, which cost another round trip. Those sent before its connections were back (100 to 200 ms) were lost.

Ruled out by reading: the config change (it comes with the confirming reply) and the queue of old messages at the host (at most 2,000 a turn, some dozens here). Old replies did count as contact with the leader; what counts now is when the answered heartbeat was sent.

While no leader has answered a heartbeat of the last 500 ms, heartbeats now go to all replicas every 100 ms, as the hosts of the platform do. The bounds and the scenario are unchanged.

--- a/src/membership/session_client.cc
+++ b/src/membership/session_client.cc
@@ -14,7 +14,12 @@
       config_(config),
       incarnation_(incarnation) {}
 
-void SessionClient::SendHeartbeat(TimePoint now, const BlobsMissing& missing) {
+bool SessionClient::Searching(TimePoint now) const {
+  return now > answered_ + kMaxUnansweredHeartbeats * options_.heartbeat;
+}
+
+proto::Envelope SessionClient::Heartbeat(TimePoint now,
+                                         const BlobsMissing& missing) const {
   proto::Envelope envelope;
   proto::HostHeartbeat& heartbeat = *envelope.mutable_heartbeat();
   const ConfigPointer config = config_.current();
@@ -25,39 +30,47 @@
   heartbeat.set_leaving(leaving_);
   heartbeat.set_missing_blobs(missing.count);
   heartbeat.set_blobs_checked_index(missing.index);
-  if (!leader_.leader().empty()) {
-    sender_.Send(leader_.leader(), std::move(envelope));
-  }
+  return envelope;
 }
 
 void SessionClient::Tick(TimePoint now, const BlobsMissing& missing) {
   if (now < next_heartbeat_) {
     return;
   }
-  if (now > last_answer_ + kMaxUnansweredHeartbeats * options_.heartbeat) {
-    leader_.TryNextReplica(now);
+  const proto::Envelope heartbeat = Heartbeat(now, missing);
+  if (Searching(now)) {
+    next_heartbeat_ = now + options_.search;
+    for (const std::string& replica : leader_.replicas()) {
+      sender_.Send(replica, heartbeat);
+    }
+    return;
   }
   next_heartbeat_ = now + options_.heartbeat;
-  SendHeartbeat(now, missing);
+  sender_.Send(leader_.leader(), heartbeat);
 }
 
 void SessionClient::Leave(TimePoint now) {
   leaving_ = true;
-  SendHeartbeat(now, BlobsMissing{});
+  if (!leader_.leader().empty()) {
+    sender_.Send(leader_.leader(), Heartbeat(now, BlobsMissing{}));
+  }
 }
 
 void SessionClient::OnReply(const std::string& from,
                             const proto::HeartbeatReply& reply, TimePoint now) {
-  last_answer_ = now;
   if (reply.not_leader()) {
     if (!reply.leader().empty()) {
       leader_.SetLeader(reply.leader());
-      next_heartbeat_ = now;
+      // A search has reached the new leader already.
+      next_heartbeat_ = Searching(now) ? next_heartbeat_ : now;
     } else if (from == leader_.leader()) {
       leader_.TryNextReplica(now);
     }
     return;
   }
+  const TimePoint sent_at{
+      Duration(static_cast<Duration::rep>(reply.sent_at()))};
+  answered_ = std::max(answered_, sent_at);
   leader_.OnLeaderContact(from, now);
   if (reply.has_config()) {
     const uint64_t epoch_before = config_.current()->view.epoch();
@@ -71,8 +84,6 @@
   if (!reply.confirmed() || config_.current()->index < reply.config_index()) {
     return;
   }
-  const TimePoint sent_at{
-      Duration(static_cast<Duration::rep>(reply.sent_at()))};
   config_.ExtendFreshness(sent_at + kFreshness);
   lease_until_ = std::max(lease_until_, sent_at + options_.lease);
   in_view_ = reply.in_view();
--- a/src/membership/session_client.h
+++ b/src/membership/session_client.h
@@ -5,6 +5,10 @@
 // proves that this host had not missed any key withdrawal when it sent the
 // heartbeat. Both periods start when the heartbeat was sent, on this host's
 // clock, so a delayed reply or a suspended process does not extend them.
+//
+// While the leader does not answer, heartbeats go to all replicas and at a
+// shorter interval. A process that was suspended cannot tell its own pause from
+// silence of the leader, and refuses keyed requests until it is confirmed.
 #pragma once
 
 #include <cstdint>
@@ -45,7 +49,10 @@
   bool in_view() const { return in_view_; }
 
  private:
-  void SendHeartbeat(TimePoint now, const BlobsMissing& missing);
+  // Returns true if no leader has answered a heartbeat of the last two
+  // intervals.
+  bool Searching(TimePoint now) const;
+  proto::Envelope Heartbeat(TimePoint now, const BlobsMissing& missing) const;
 
   PeerSender& sender_;
   LeaderClient& leader_;
@@ -53,7 +60,9 @@
   uint64_t incarnation_;
   SessionOptions options_;
   TimePoint next_heartbeat_;
-  TimePoint last_answer_;
+  // When the latest heartbeat that a leader has answered was sent. The time of
+  // the reply would not do: old replies may arrive after a pause.
+  TimePoint answered_;
   TimePoint lease_until_;
   bool in_view_ = false;
   bool leaving_ = false;
--- a/src/membership/session_table.h
+++ b/src/membership/session_table.h
@@ -21,6 +21,10 @@
 
 struct SessionOptions {
   milliseconds heartbeat{250};
+  // The interval of heartbeats while no leader answers. An ended connection is
+  // back after 100 to 200 ms at best, so a shorter one gains little. 60 hosts
+  // then send 600 heartbeats a second to each replica.
+  milliseconds search{100};
   milliseconds lease{1'000};
   // Added to the lease by the leader, as clocks run at different rates.
   milliseconds margin{100};
--- a/src/peer/leader_client.h
+++ b/src/peer/leader_client.h
@@ -44,6 +44,7 @@
 
   // The host that is assumed to be the leader; requests are sent to it.
   const std::string& leader() const { return leader_; }
+  const std::vector<std::string>& replicas() const { return replicas_; }
   // Sets the leader as reported by another host. Hosts that are not replicas
   // are ignored.
   void SetLeader(const std::string& host);
