Push configuration changes as the difference to what the host reported

The leader noted the index of a configuration as soon as it had sent it, and pushed the next change as the difference to that. If the first message was lost (links drop messages until they are connected), the push gave the host a current index without the changes before: it refused keys that are valid, or could accept one that was withdrawn, and its heartbeats were confirmed. The same holds for a push that reaches a restarted host and starts from its earlier process's index.

The difference now starts from the index in the host's latest heartbeat, and the push names that heartbeat by its sending time as a reply does. A host ignores replies to heartbeats of its earlier process. No change of the messages.

--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -426,28 +426,29 @@
   sessions_.OnHeartbeat(from, heartbeat, now);
   host_blobs_[from] =
       BlobsMissing{heartbeat.missing_blobs(), heartbeat.blobs_checked_index()};
-  host_config_index_[from] = heartbeat.config_index();
+  reported_configs_[from] =
+      ReportedConfig{heartbeat.sent_at(), heartbeat.config_index()};
   reply.set_confirmed(true);
   reply.set_config_index(ledger_.config_index());
   reply.set_in_view(ledger_.view().Contains(from, heartbeat.incarnation()));
   if (heartbeat.config_index() < ledger_.config_index()) {
     *reply.mutable_config() = ledger_.ConfigSince(heartbeat.config_index());
-    host_config_index_[from] = ledger_.config_index();
   }
   sender_.Send(from, std::move(envelope));
 }
 
-// Sends a configuration change to every known host immediately. A host that
-// misses the message gets the change in the reply to its next heartbeat.
+// Sends a configuration change to every known host immediately, as a further
+// reply to its latest heartbeat. A host that misses the message gets the change
+// in the reply to its next heartbeat.
 void Replica::PushConfig() {
   config_changed_ = false;
-  for (auto& [host, index] : host_config_index_) {
+  for (const auto& [host, reported] : reported_configs_) {
     proto::Envelope envelope;
     proto::HeartbeatReply& reply = *envelope.mutable_heartbeat_reply();
+    reply.set_sent_at(reported.sent_at);
     reply.set_term(raft_->term());
     reply.set_config_index(ledger_.config_index());
-    *reply.mutable_config() = ledger_.ConfigSince(index);
-    index = ledger_.config_index();
+    *reply.mutable_config() = ledger_.ConfigSince(reported.index);
     sender_.Send(host, std::move(envelope));
   }
 }
@@ -479,7 +480,7 @@
     proposals_.clear();
     pending_requests_.clear();
     own_proposals_.clear();
-    host_config_index_.clear();
+    reported_configs_.clear();
     replacements_.Clear();
     snapshot_sender_.Clear();
     if (was_leader && !became_leader) {
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -67,6 +67,11 @@
     uint64_t request_id;
     uint64_t term;
   };
+  // The sending time, on the host's clock, and config index of a heartbeat.
+  struct ReportedConfig {
+    uint64_t sent_at = 0;
+    uint64_t index = 0;
+  };
 
   Replica(const Settings& settings, FileSystem& files, PeerSender& sender,
           Metrics& metrics, Post post);
@@ -145,8 +150,9 @@
   // The sender and request id of each entry of `proposals_`.
   std::set<std::pair<std::string, uint64_t>> pending_requests_;
   std::set<uint64_t> own_proposals_;
-  // The config index that each host has, or was last sent.
-  std::map<std::string, uint64_t> host_config_index_;
+  // What each host reported last. A change is sent as the difference to this,
+  // not to what was sent since, which may be lost.
+  std::map<std::string, ReportedConfig> reported_configs_;
   std::map<std::string, BlobsMissing> host_blobs_;
   Replacements::NewNodes new_nodes_;
   Replacements replacements_;
--- a/src/membership/session_client.cc
+++ b/src/membership/session_client.cc
@@ -37,6 +37,7 @@
   if (now < next_heartbeat_) {
     return;
   }
+  first_sent_ = std::min(first_sent_, now);
   const proto::Envelope heartbeat = Heartbeat(now, missing);
   if (Searching(now)) {
     next_heartbeat_ = now + options_.search;
@@ -58,6 +59,11 @@
 
 void SessionClient::OnReply(const std::string& from,
                             const proto::HeartbeatReply& reply, TimePoint now) {
+  const TimePoint sent_at{
+      Duration(static_cast<Duration::rep>(reply.sent_at()))};
+  if (sent_at < first_sent_ || sent_at > now) {
+    return;
+  }
   if (reply.not_leader()) {
     if (!reply.leader().empty()) {
       leader_.SetLeader(reply.leader());
@@ -68,8 +74,6 @@
     }
     return;
   }
-  const TimePoint sent_at{
-      Duration(static_cast<Duration::rep>(reply.sent_at()))};
   answered_ = std::max(answered_, sent_at);
   leader_.OnLeaderContact(from, now);
   if (reply.has_config()) {
--- a/src/membership/session_client.h
+++ b/src/membership/session_client.h
@@ -60,6 +60,10 @@
   uint64_t incarnation_;
   SessionOptions options_;
   TimePoint next_heartbeat_;
+  // Replies to heartbeats sent before are for an earlier process of this host.
+  // They bring the changes since that process's configuration only, and would
+  // make a later configuration of keys look complete.
+  TimePoint first_sent_ = TimePoint::max();
   // When the latest heartbeat that a leader has answered was sent. The time of
   // the reply would not do: old replies may arrive after a pause.
   TimePoint answered_;
--- a/test/correctness/session_client_test.cc
+++ b/test/correctness/session_client_test.cc
@@ -134,6 +134,27 @@
   }
 }
 
+// Guards against a restarted host that refuses keys given before its restart,
+// or accepts keys withdrawn before it: changes since the configuration of its
+// earlier process are not complete, although their index is current.
+TEST(SessionClientTest, ChangesForAnEarlierProcessAreNotApplied) {
+  SimulatedHost host("h1", milliseconds(1));
+  proto::HeartbeatReply push;
+  push.set_sent_at(static_cast<uint64_t>(
+      (host.network.now - seconds(1)).time_since_epoch().count()));
+  push.set_config_index(9);
+  push.mutable_config()->set_index(9);
+  host.session.OnReply("h1", push, host.network.now);
+  EXPECT_EQ(host.config.current()->index, 0U);
+  host.Run(milliseconds(100));
+  host.session.OnReply("h1", push, host.network.now);
+  EXPECT_EQ(host.config.current()->index, 0U);
+  push.set_sent_at(static_cast<uint64_t>(
+      (host.network.now - milliseconds(50)).time_since_epoch().count()));
+  host.session.OnReply("h1", push, host.network.now);
+  EXPECT_EQ(host.config.current()->index, 9U);
+}
+
 // Guards against heartbeats to every replica in ordinary operation.
 TEST(SessionClientTest, HeartbeatsGoToTheLeaderOnlyWhileItAnswers) {
   SimulatedHost host("h2", milliseconds(1));
