Push a configuration change before its answer

A run of bad-input beside load got bad_key from the only host of the deployment, which had just given the key: the leader sent the answer to the operator first and the change after it, and the host served the next request in between. No other leader was elected in that run, by its log. That the run met this gap is not shown; 180 keys on one core beside busy processes passed with either order.

The change now goes first, so a key is in force at the host that answers the operator.

Measured: config_push_test drives a replica in memory. Scenarios bad-input, withdrawn-key, operators-race and leader-killed pass once each, two at a time.

--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -753,6 +753,11 @@
         config_changed_ || ledger_.config_index() != config_before;
     own_proposals_.erase(entry.index());
     if (leads()) {
+      // Before the answer, so that a key is in force at the host that answers
+      // the operator.
+      if (config_changed_) {
+        PushConfig();
+      }
       AnswerProposal(entry, result);
       NotifyOwners(command);
     }
