Stop the batch item that has the most time left until it is due

A burst stopped the item with the least output at a server, also when it was nearly due and another had many seconds left. Output is kept when an item is stopped, so it decides only between items due at the same time. The choice is a pure function. item_stop_policy_test and jobs_test pass; the number of stopped items does not change by this.

--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "jobs/item_stop_policy.h"
 #include "observe/log.h"
 
 namespace sequoialb {
@@ -27,6 +28,7 @@
 struct ItemRunner::Run {
   proto::ItemOffer offer;
   TimePoint accepted_at;
+  TimePoint due_at;
   // When the request was sent, or its answer last made progress. Bytes that are
   // no new event are no progress.
   TimePoint last_progress_at;
@@ -76,6 +78,7 @@
   auto run = std::make_unique<Run>();
   run->offer = offer;
   run->accepted_at = front_.loop.now();
+  run->due_at = run->accepted_at + milliseconds(offer.due_left_ms());
   run->output = offer.output();
   run->shared_parts = {offer.item().shared_parts().begin(),
                        offer.item().shared_parts().end()};
@@ -381,21 +384,21 @@
 }
 
 bool ItemRunner::StopOneAt(const std::string& backend) {
-  Run* least_output = nullptr;
+  std::vector<Run*> runs;
+  std::vector<StoppableItem> items;
   for (const auto& [key, run] : runs_) {
     // A trial that is stopped too soon would show nothing.
-    const bool running_there = run->call != nullptr &&
-                               run->backend == backend &&
-                               (!run->trial || run->survived);
-    if (running_there && (least_output == nullptr ||
-                          run->output.size() < least_output->output.size())) {
-      least_output = run.get();
+    if (run->call != nullptr && run->backend == backend &&
+        (!run->trial || run->survived)) {
+      runs.push_back(run.get());
+      items.push_back({run->due_at, run->output.size()});
     }
   }
-  if (least_output == nullptr) {
+  const auto chosen = PickItemToStop(items);
+  if (!chosen) {
     return false;
   }
-  End(*least_output, proto::ItemOutcome::kReturned);
+  End(*runs[*chosen], proto::ItemOutcome::kReturned);
   return true;
 }
 
--- a/src/jobs/item_runner.h
+++ b/src/jobs/item_runner.h
@@ -32,8 +32,8 @@
 
   void AcceptOffer(const proto::ItemOffer& offer);
   void Stop(const proto::ItemName& name);
-  // Stops the item on a server that has the least output so far; returns false
-  // when none runs there.
+  // Stops the item on a server that has the most time left until it is due;
+  // returns false when none runs there.
   bool StopOneAt(const std::string& backend);
   // Returns all items to the store group, before a graceful stop.
   void StopAll();
