--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -128,6 +128,12 @@
       started_(front.metrics.counter("sequoialb_requests_total")),
       completed_(front.metrics.counter("sequoialb_requests_completed_total")),
       refused_(front.metrics.counter("sequoialb_requests_refused_total")),
+      refused_on_arrival_(
+          front.metrics.counter("sequoialb_requests_refused_on_arrival_total")),
+      refused_after_wait_(
+          front.metrics.counter("sequoialb_requests_refused_after_wait_total")),
+      sent_contended_(
+          front.metrics.counter("sequoialb_requests_sent_contended_total")),
       broken_(front.metrics.counter("sequoialb_requests_broken_total")),
       resumed_(front.metrics.counter("sequoialb_streams_resumed_total")),
       caller_left_(front.metrics.counter("sequoialb_requests_abandoned_total")),
@@ -360,6 +366,9 @@
     request.waiting = false;
   }
   waited_.Observe(now - request.arrived_at);
+  if (front_.pool.IsContended(now)) {
+    sent_contended_.Add();
+  }
   ++request.attempts;
   request.backend = choice.backend;
   request.process = choice.process();
@@ -767,6 +776,7 @@
       CannotMeetDeadline(CurrentServiceRate(),
                          queue_.Ahead(request.returning, now),
                          admitted_until - now)) {
+    refused_on_arrival_.Add();
     RefuseOverloaded(request);
     return;
   }
@@ -787,6 +797,7 @@
 
 void Gateway::DispatchQueued() {
   for (const uint64_t number : queue_.TakeExpired(front_.loop.now())) {
+    refused_after_wait_.Add();
     RefuseOverloaded(*requests_.at(number));
   }
   std::set<std::string> full_services;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -115,6 +115,12 @@
   Counter& started_;
   Counter& completed_;
   Counter& refused_;
+  // Refusals for lack of slots, by reason: no slot was expected in time when
+  // the request arrived, or none became free while it waited.
+  Counter& refused_on_arrival_;
+  Counter& refused_after_wait_;
+  // Requests sent while requests waited at other fronts.
+  Counter& sent_contended_;
   Counter& broken_;
   Counter& resumed_;
   Counter& caller_left_;
