Weight servers by learned speed and limit them only against a cliff

The first version ranked slow servers behind all others and reduced the limit of any slow server. Near the capacity both overfilled the fast servers: fronts learn of each other's requests 30 to 100 ms late.

Now the random spread is weighted by free slots times speed, and only an assigned server whose callers are late loses its preference. A limit is reduced after 0.8 s of late answers, compared with the server's own shortest gap, taken back when it does not help, and raised once a concurrency has worked well for 0.7 s. Only refusals by the server count as such; a request that is given up at a server that may just be full does not.

--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -114,7 +114,7 @@
   Rank best_rank;
   std::vector<double> free_slots;
   const Load* stoppable = nullptr;
-  bool stoppable_slow = false;
+  bool stoppable_refuses = false;
   for (const auto& [id, load] : loads_) {
     if (!IsEligible(load, service, now) || avoid.count(id) > 0) {
       continue;
@@ -128,11 +128,11 @@
     if (free < 1) {
       const bool fits =
           load.items > 0 && busy - static_cast<double>(load.items) + 1 <= slots;
-      if (fits &&
-          (stoppable == nullptr || rank.slow < stoppable_slow ||
-           (rank.slow == stoppable_slow && load.items > stoppable->items))) {
+      if (fits && (stoppable == nullptr || rank.refuses < stoppable_refuses ||
+                   (rank.refuses == stoppable_refuses &&
+                    load.items > stoppable->items))) {
         stoppable = &load;
-        stoppable_slow = rank.slow;
+        stoppable_refuses = rank.refuses;
       }
       continue;
     }
@@ -147,18 +147,18 @@
     best.push_back(&load);
     free_slots.push_back(free * SpeedOf(load, now));
   }
-  // Stopping a batch item is preferred to using a remote or slow server.
+  // Stopping a batch item is preferred to using a remote server.
   const bool remote = !best.empty() && !best.front()->backend.local;
   if (stoppable != nullptr &&
-      (best.empty() || (best_rank.slow && !stoppable_slow) ||
-       (remote && best_rank.slow == stoppable_slow))) {
+      (best.empty() || (best_rank.refuses && !stoppable_refuses) ||
+       (remote && best_rank.refuses == stoppable_refuses))) {
     return ChoiceOf(stoppable->backend, true);
   }
   if (best.empty()) {
     return std::nullopt;
   }
   // The load of its assigned servers is known to the front.
-  const bool assigned = best.front()->backend.assigned;
+  const bool assigned = best_rank.tier <= Tier::kAssignedCold;
   const Load& chosen = *best[PickServer(
       assigned ? SpreadPolicy(MostFreeSlots{}) : spread_, free_slots, random_)];
   return ChoiceOf(chosen.backend, false);
@@ -414,15 +414,14 @@
 }
 
 BackendPool::Rank BackendPool::RankOf(const Load& load, TimePoint now) const {
-  Rank rank{learn_speeds_ && load.speed.IsSlow(now), TierOf(load)};
-  if (learn_speeds_ && load.speed.slow() && rank.tier < Tier::kLocal) {
-    rank.tier = Tier::kLocal;
+  if (!learn_speeds_) {
+    return {false, TierOf(load)};
   }
-  if (rank.slow && load.backend.assigned && load.online + load.items == 0 &&
-      RequestsOfOthers(load, now) < 1 && load.speed.IsProbeDue(now)) {
-    rank.slow = false;
+  Tier tier = TierOf(load);
+  if (load.speed.late() && load.backend.assigned) {
+    tier = load.backend.cold ? Tier::kLocalCold : Tier::kLocal;
   }
-  return rank;
+  return {load.speed.IsRefusing(now), tier};
 }
 
 void BackendPool::RefreshSpeeds(TimePoint now) {
@@ -449,10 +448,12 @@
     reference = ReferenceGap(std::move(observed), reference, elapsed);
   }
   for (auto& [id, load] : loads_) {
-    const auto reference = reference_gaps_.find(load.backend.service);
-    if (load.usable && reference != reference_gaps_.end()) {
-      load.speed.Refresh(reference->second, reported(id), BusySlots(load, now),
-                         load.backend.slots, load.backend.assigned, now);
+    const auto found = reference_gaps_.find(load.backend.service);
+    if (load.usable) {
+      load.speed.Refresh(
+          found == reference_gaps_.end() ? Duration(0) : found->second,
+          reported(id), BusySlots(load, now), load.backend.slots,
+          load.backend.assigned, now);
       LogSpeed(load, now);
     }
   }
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -17,8 +17,9 @@
 // a slot to spare, and requests are spread among them (spread_policy.h).
 //
 // Servers differ in speed. With LearnSpeeds, a server's learned limit takes the
-// place of its slots, its free slots count by its speed, and a slow server is
-// used only when all others are full (server_speed.h).
+// place of its slots, and its free slots are weighted by its speed. An assigned
+// server whose callers would be late is not preferred to other local ones
+// (server_speed.h).
 //
 // A server that cannot be reached or does not complete an answer gets no new
 // requests for a backoff time that doubles with each failure. A server all of
@@ -210,13 +211,14 @@
     kRemoteCold
   };
   static Tier TierOf(const Load& load);
-  // Slow servers come after all others, in the same order.
+  // Servers that refuse come after all others, in the same order. An assigned
+  // server whose callers are late has the rank of a local one.
   struct Rank {
-    bool slow = false;
+    bool refuses = false;
     Tier tier = Tier::kAssigned;
 
     bool operator<(const Rank& other) const {
-      return slow != other.slow ? other.slow : tier < other.tier;
+      return refuses != other.refuses ? other.refuses : tier < other.tier;
     }
   };
   Rank RankOf(const Load& load, TimePoint now) const;
--- a/src/gateway/server_speed.cc
+++ b/src/gateway/server_speed.cc
@@ -16,56 +16,63 @@
 constexpr size_t kMinSamples = 3;
 // What was learned of a server is forgotten this long after the last
 // observation of any front.
-constexpr milliseconds kForgetAfter{4'000};
-// A slow server that no front has observed for this long gets one request, so
-// that a recovery is noticed within a second.
-constexpr milliseconds kProbeAfter{600};
+constexpr milliseconds kForgetAfter{2'000};
 
 // A server is slow above the first ratio of its gap to the reference, until it
-// is below the second. Gaps at a full server are about 1.3 times those at an
-// idle one.
+// is below the second. Slow is a class for logs and metrics; requests are
+// placed by the ratio itself. Gaps at a full server are about 1.3 times those
+// at an idle one.
 constexpr double kSlowRatio = 1.6;
 constexpr double kUsualRatio = 1.4;
-// A server is slow only when its gap is over this part of the latency target:
-// the first event takes a gap, the reading of the prompt and that of others.
+// The newest ratio changes the slowdown by this part: single prompts that are
+// read between events must not change the class of a server.
+constexpr double kNewestSlowdown = 0.4;
+// A server is slow only when its gap is also over this part of the latency
+// target, 60 ms of 300.
 constexpr double kSlowTargetFraction = 0.2;
-// The limit is reduced when the gap is over this ratio and over this part of
-// the latency target.
-constexpr double kLateRatio = 3.2;
-constexpr double kInTimeRatio = 2.4;
-constexpr double kLateTargetFraction = 0.45;
+// A server is late when its gap is over this ratio to its own shortest gap, and
+// over this part of the latency target, until it is below the second ratio. The
+// first event takes a gap and the reading of the prompt and of others.
+constexpr double kLateRatio = 2.2;
+constexpr double kInTimeRatio = 1.6;
+constexpr double kLateTargetFraction = 0.33;
+// The limit is reduced after a server has been late for this long. Speeds that
+// change several times a second would otherwise keep limits low.
+constexpr milliseconds kLateTime{800};
 // One reduction divides the limit by at most this.
 constexpr double kMaxReduction = 2;
 // A refusal, or an answer that is not completed, divides the limit by this.
 constexpr double kRefusedReduction = 1.3;
-// With fewer requests, a slowdown above this part of the earlier one counts as
-// unchanged.
-constexpr double kSameSlowdown = 0.75;
+// With fewer requests, a ratio above this part of the earlier one counts as
+// unchanged: below a cliff it falls to a third or less.
+constexpr double kSameRatio = 0.75;
+// Gaps observed this long after the requests above a reduced limit have ended
+// show whether the reduction has helped.
+constexpr milliseconds kSettled{700};
 // How long the limit of a server that is slow at any concurrency is not reduced
-// again.
+// again. Disturbances last some seconds.
 constexpr milliseconds kUnlimited{3'000};
-// The limit is raised by this factor, but at least by one.
+// The limit is raised by this factor, but at least by one, and by one while a
+// concurrency is known to be too high: from 1 to 8 slots in 3 s.
 constexpr double kRaiseFactor = 1.5;
 // The limit changes at most this often; by then the gaps since the last change
 // are known.
 constexpr milliseconds kChangeInterval{200};
 // A concurrency that was too high is tried again after this time, doubled with
 // each failure up to the second figure. Fronts to which the server is not
-// assigned wait that much longer.
+// assigned wait that much longer: 58 fronts must not try it in turn.
 constexpr milliseconds kRetryAfter{2'000};
 constexpr uint32_t kMaxRetryDoublings = 2;
 constexpr milliseconds kUnassignedRetryDelay{10'000};
-// So many refusals in a row make a server slow for some time. They may come
-// quickly, so that the server always seems to have free slots.
-constexpr uint32_t kRefusalsSlow = 3;
+// After so many refusals in a row, other servers are preferred until the last
+// is older than this.
+constexpr uint32_t kMaxRefusals = 3;
 constexpr milliseconds kRefusalsExpiry{1'000};
 
 // What a server says of its machine counts in full, then less, and not at all
 // after the second time: it changes many times a second.
 constexpr milliseconds kWorkFresh{40};
 constexpr milliseconds kWorkExpiry{200};
-// From this on, what the server says makes it slow.
-constexpr double kWorkSlow = 1.8;
 
 // The slowest rate at which prompts are read by a usual server, in tokens per
 // millisecond, and the time that the prompts of other requests may take.
@@ -73,9 +80,10 @@
 constexpr milliseconds kOtherPrompts{60};
 // A first event counts as slow when it takes this many times what its prompt
 // explains.
-constexpr double kFirstEventSlow = 2;
+constexpr double kFirstEventSlow = 3;
 
-// The reference gap rises by this part in a second.
+// The reference gaps rise by this part in a second: a lasting change to twice
+// the gap is usual after 14 s, a disturbance of 5 s is not.
 constexpr double kReferenceRise = 0.05;
 
 }  // namespace
@@ -118,7 +126,6 @@
                                    double busy, uint32_t slots, Duration target,
                                    TimePoint now) {
   refusals_ = 0;
-  observed_at_ = now;
   // The request may have waited at the server until a slot became free.
   if (busy >= slots) {
     return;
@@ -127,7 +134,7 @@
                              FromSeconds(static_cast<double>(prompt_tokens) /
                                          kPromptTokensPerMs / 1'000);
   const double ratio = ToSeconds(time) / ToSeconds(explained);
-  if (ratio > kFirstEventSlow) {
+  if (ratio > kFirstEventSlow && !OwnGap(now)) {
     AddSample(FromSeconds(ToSeconds(kNominalGap) * ratio), busy, target, now);
   }
 }
@@ -137,7 +144,7 @@
   refused_at_ = now;
   observed_at_ = now;
   // A server that is full by what is known may refuse for that alone.
-  if (refusals_ >= kRefusalsSlow && busy < slots &&
+  if (refusals_ >= kMaxRefusals && busy < slots &&
       now - changed_at_ >= kChangeInterval) {
     Reduce(busy, kRefusedReduction, slots, now);
   }
@@ -213,13 +220,8 @@
   return 1 / std::max(std::max(1.0, slowdown_), WorkFactor(now));
 }
 
-bool ServerSpeed::IsSlow(TimePoint now) const {
-  return late_ || WorkFactor(now) >= kLateRatio ||
-         (refusals_ >= kRefusalsSlow && now - refused_at_ < kRefusalsExpiry);
-}
-
-bool ServerSpeed::IsProbeDue(TimePoint now) const {
-  return now - observed_at_ > kProbeAfter;
+bool ServerSpeed::IsRefusing(TimePoint now) const {
+  return refusals_ >= kMaxRefusals && now - refused_at_ < kRefusalsExpiry;
 }
 
 double ServerSpeed::limit(uint32_t slots) const {
@@ -236,18 +238,16 @@
                         : 0;
   bad_ = used;
   retry_at_ = now + kRetryAfter * (1U << retries_failed_);
-  // A concurrency just below that worked well is better known than the ratio.
-  const double reduced = good_ > 0 && good_ < used
-                             ? std::max(good_, used - 1)
-                             : used / std::clamp(factor, 1.0, kMaxReduction);
-  good_ = std::min(good_, std::max(1.0, reduced));
+  // A concurrency that worked well is better known than the factor.
+  const double divided = used / std::clamp(factor, 1.0, kMaxReduction);
+  const double reduced = good_ < used ? std::max(good_, divided) : divided;
+  good_ = std::min(good_, reduced);
   limit_ = std::max(1.0, std::floor(reduced));
   changed_at_ = now;
 }
 
 void ServerSpeed::Raise(double busy, uint32_t slots, bool assigned,
                         TimePoint now) {
-  good_ = std::max(good_, busy);
   const bool may_retry =
       now >= retry_at_ + (assigned ? Duration(0) : kUnassignedRetryDelay);
   if (good_ >= bad_) {
@@ -258,7 +258,9 @@
   if (busy < current - 1 && busy < current * 0.7) {
     return;
   }
-  double raised = std::max(current + 1, std::floor(current * kRaiseFactor));
+  double raised =
+      bad_ > 0 ? current + 1
+               : std::max(current + 1, std::floor(current * kRaiseFactor));
   if (bad_ > 0 && raised >= bad_) {
     raised = may_retry ? std::max(current, bad_) : std::max(current, bad_ - 1);
   }
@@ -291,31 +293,64 @@
     busy_ = busy;
     return;
   }
-  slowdown_ = ToSeconds(*gap) / ToSeconds(reference);
+  slowdown_ +=
+      (ToSeconds(*gap) / ToSeconds(reference) - slowdown_) * kNewestSlowdown;
   const double target = ToSeconds(target_);
-  const double gap_s = ToSeconds(*gap);
+  const double gap_s = slowdown_ * ToSeconds(reference);
   slow_ = slow_
               ? slowdown_ > kUsualRatio
               : slowdown_ > kSlowRatio && gap_s > target * kSlowTargetFraction;
+  const Duration smoothed = FromSeconds(gap_s);
+  const double rise = ToSeconds(now - refreshed_at_) * kReferenceRise;
+  refreshed_at_ = now;
+  own_reference_ =
+      own_reference_.count() == 0
+          ? smoothed
+          : std::min(smoothed,
+                     FromSeconds(ToSeconds(own_reference_) * (1 + rise)));
+  const double own_ratio = gap_s / ToSeconds(own_reference_);
   late_ = late_
-              ? slowdown_ > kInTimeRatio
-              : slowdown_ > kLateRatio && gap_s > target * kLateTargetFraction;
+              ? own_ratio > kInTimeRatio
+              : own_ratio > kLateRatio && gap_s > target * kLateTargetFraction;
+  // Gaps follow the concurrency with a delay, so one that worked well is known
+  // only after it has lasted.
+  if (own_ratio >= kInTimeRatio) {
+    lasting_since_ = now;
+    lasting_busy_ = busy;
+  }
+  lasting_busy_ = std::min({lasting_busy_, busy, static_cast<double>(slots)});
+  if (now - lasting_since_ >= kSettled) {
+    good_ = std::max(good_, lasting_busy_);
+    if (limit_) {
+      Raise(lasting_busy_, slots, assigned, now);
+    }
+    lasting_since_ = now;
+    lasting_busy_ = busy;
+  }
   if (now - changed_at_ >= kChangeInterval) {
-    if (late_) {
+    if (!late_) {
+      awaiting_effect_ = false;
+      late_since_ = now;
+    }
+    if (late_ && awaiting_effect_) {
       if (limit_ && busy_ > *limit_ + 0.5) {
         // The requests above the limit have not ended yet.
-      } else if (limit_ && slowdown_ > reduced_slowdown_ * kSameSlowdown) {
-        limit_.reset();
-        bad_ = 0;
-        unlimited_until_ = now + kUnlimited;
-      } else if (now >= unlimited_until_) {
-        reduced_slowdown_ = slowdown_;
+        settled_at_ = now;
+      } else if (now - settled_at_ >= kSettled) {
+        awaiting_effect_ = false;
+        if (own_ratio > reduced_ratio_ * kSameRatio) {
+          limit_.reset();
+          bad_ = 0;
+          unlimited_until_ = now + kUnlimited;
+        }
+      }
+    } else if (late_) {
+      if (now >= unlimited_until_ && now - late_since_ >= kLateTime) {
+        awaiting_effect_ = true;
+        settled_at_ = now;
+        reduced_ratio_ = own_ratio;
         Reduce(busy_, kMaxReduction, slots, now);
       }
-    } else if (limit_) {
-      Raise(std::min<double>(busy, slots), slots, assigned, now);
-    } else if (slowdown_ < kUsualRatio) {
-      good_ = std::max(good_, std::min<double>(busy, slots));
     }
     busy_ = busy;
   }
--- a/src/gateway/server_speed.h
+++ b/src/gateway/server_speed.h
@@ -11,17 +11,21 @@
 // The measure is the time between two events of a stream, the gap: it depends
 // neither on the length of the prompt nor on cached parts of it. The time to
 // the first event counts only as far as it is longer than the prompt explains.
-// A gap is usual or slow by comparison with the reference gap, which the fast
-// quarter of the service's servers need (ReferenceGap). A server is
-//   - slow, when its gap is well above the reference: others are preferred;
-//   - limited, when its callers would be late: its limit is reduced to the
-//     concurrency at which it was last observed to work well, and raised by
-//     steps while it is well used and its gaps are usual. A concurrency that
-//     was too high is not tried again for some seconds, and longer each time.
+//
+// The ratio of the gap to that of the fast quarter of the service's servers
+// (ReferenceGap) is the server's speed, by which its free slots are weighted.
+// Usual servers differ by a factor of 1.5, so a change shows better against the
+// server's own past. When the gap is well above the shortest of this server and
+// callers are about to be late, its assigned front no longer prefers it, and
+// its limit is reduced. If that does not help, the server is slow at any
+// concurrency and the limit is lifted. If it does, the limit is raised by steps
+// while it is used, and the concurrency that was too high is not tried again
+// for some seconds, longer each time.
+//
 // Fronts tell each other the gaps they observe (FrontLoad.speed_percent). Only
-// the assigned front tries a concurrency again that was too high, and only it
-// sends single requests to a slow server, so that its recovery is noticed;
-// others follow what it reports.
+// the assigned front soon tries a concurrency again that was too high; others
+// follow what it reports. A slow server keeps a small share of the requests, so
+// that its recovery is noticed.
 //
 // What a server says of itself (`work_percent`) only makes it slower than
 // observed, never faster, and only for some tens of milliseconds. Observations
@@ -94,17 +98,18 @@
 
   // Returns how fast the server works; 1 is usual, less is slower.
   double speed(TimePoint now) const;
-  // Returns whether other servers should be preferred.
-  bool IsSlow(TimePoint now) const;
-  // Returns whether a slow server has not been observed for so long that its
-  // assigned front should send it a request.
-  bool IsProbeDue(TimePoint now) const;
+  // Returns whether the server has refused its last requests, so that others
+  // should be preferred. Refusals may come quickly, and then it always seems to
+  // have free slots.
+  bool IsRefusing(TimePoint now) const;
   // Returns how many requests the server can run at once.
   double limit(uint32_t slots) const;
   bool limited() const { return limit_.has_value(); }
   // Returns whether the server works at a speed below usual, without what it
   // says of itself at this moment.
   bool slow() const { return slow_; }
+  // Returns whether its callers are late.
+  bool late() const { return late_; }
 
  private:
   struct Sample {
@@ -130,18 +135,31 @@
   // Gap divided by the reference gap; 1 is usual.
   double slowdown_ = 1;
   bool slow_ = false;
+  // The shortest gap of this server, raised slowly. Usual servers differ by a
+  // factor of 1.5, so that a change is seen better against its own past.
+  Duration own_reference_{0};
+  TimePoint refreshed_at_;
   // Unset while all slots may be used.
   std::optional<double> limit_;
   // Its callers are late.
   bool late_ = false;
-  // The slowdown when the limit was last reduced. While it stays as high with
-  // fewer requests, the server is slow at any concurrency, and until
-  // `unlimited_until_` the limit is not reduced again.
-  double reduced_slowdown_ = 0;
+  TimePoint late_since_;
+  // The limit was reduced because callers were late, at this ratio of the gap
+  // to own_reference_, and it is not known yet whether that helps. While the
+  // ratio stays as high with fewer requests, the server is slow at any
+  // concurrency, and until `unlimited_until_` the limit is not reduced again.
+  bool awaiting_effect_ = false;
+  double reduced_ratio_ = 0;
   TimePoint unlimited_until_;
+  // When the requests above the reduced limit had ended.
+  TimePoint settled_at_;
   // The highest concurrency that worked well and the lowest that did not.
   double good_ = 0;
   double bad_ = 0;
+  // The lowest concurrency since `lasting_since_`; the gaps were usual all that
+  // time.
+  double lasting_busy_ = 0;
+  TimePoint lasting_since_;
   // Until then `bad_` is not tried again.
   TimePoint retry_at_;
   // How often `bad_` has been found to be too high in a row.
