Drop the sent bytes of an output buffer that is never empty

A caller that reads steadily but slower than its server sends never empties the buffer, which then kept the whole response: 134 MB held after 64 MB had been read with 8 MB unsent.

--- a/src/http/tcp_stream.cc
+++ b/src/http/tcp_stream.cc
@@ -97,6 +97,12 @@
     return;
   }
   const bool idle = unsent() == 0;
+  // A buffer that is never empty would otherwise keep all that it has sent. The
+  // condition bounds the bytes moved by the bytes sent.
+  if (output_sent_ > unsent()) {
+    output_.erase(0, output_sent_);
+    output_sent_ = 0;
+  }
   output_.append(data);
   if (idle && connected_) {
     Flush();
--- a/test/correctness/http_server_test.cc
+++ b/test/correctness/http_server_test.cc
@@ -31,7 +31,7 @@
             }
             exchange->Respond(200, {}, "body " + exchange->body());
           },
-          metrics_);
+          metrics_, resources_);
       ASSERT_TRUE(opened.has_value()) << opened.error().detail;
       server_ = std::move(*opened);
     });
@@ -51,6 +51,9 @@
   }
 
   Metrics metrics_;
+  // Without limits.
+  std::shared_ptr<HttpResources> resources_ =
+      std::make_shared<HttpResources>(BudgetLimits{});
   LoopThread thread_;
   std::unique_ptr<HttpServer> server_;
   std::vector<std::string> targets_;
@@ -279,5 +282,34 @@
   EXPECT_EQ(received, body.size());
 }
 
+// Guards against keeping the bytes that a slow caller has already taken for as
+// long as others wait behind them: the output buffer of an endless response
+// would grow without bound.
+TEST_F(HttpServerTest, KeepsOnlyUnsentBytesForASlowReader) {
+  // More than the kernel takes at once.
+  constexpr size_t kUnsent = 8U << 20U;
+  constexpr size_t kReceived = 64U << 20U;
+  constexpr size_t kMaxHeld = 3 * kUnsent;
+  const std::string piece(65'536, 'x');
+  RawClient slow(port_);
+  slow.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (Targets().empty()) {
+  }
+  thread_.Run([&] { held_->Start(200, {}, std::nullopt); });
+  size_t most_held = 0;
+  for (size_t received = 0; received < kReceived;) {
+    thread_.Run([&] {
+      while (held_->unsent() < kUnsent) {
+        held_->Send(piece);
+      }
+      most_held = std::max(most_held, resources_->budget().bytes());
+    });
+    const std::string part = slow.ReadSome();
+    ASSERT_FALSE(part.empty());
+    received += part.size();
+  }
+  EXPECT_LE(most_held, kMaxHeld);
+}
+
 }  // namespace
 }  // namespace sequoialb
