Do not take a pause for a slow caller for a stall of the server

After the pause the time of the last event was still the one before it, so that a check of stalls could resume the stream at another server and record a failure of the first one.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -607,13 +607,15 @@
     request.pause_ends_at = front_.loop.now() + kMaxPause;
     request.was_paused = true;
     request.call->Pause(true);
-    request.exchange->OnDrained([&request] { Resume(request); });
+    request.exchange->OnDrained([this, &request] { Resume(request); });
   }
 }
 
 void Gateway::Resume(Request& request) {
   if (request.paused && request.call != nullptr) {
     request.paused = false;
+    // The server could not make progress during the pause.
+    request.last_progress_at = front_.loop.now();
     request.call->Pause(false);
   }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -85,7 +85,7 @@
   void ForwardEvents(Request& request, std::string_view data);
   void OnComplete(Request& request);
   void OnFailure(Request& request, CallFailure failure);
-  static void Resume(Request& request);
+  void Resume(Request& request);
   // Ends the requests whose callers have been too slow for too long.
   void CheckPaused(TimePoint now);
   bool HasStalled(const Request& request, TimePoint now) const;
--- a/test/correctness/gateway_test.cc
+++ b/test/correctness/gateway_test.cc
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <future>
+
 #include "../fakes/raw_sockets.h"
 #include "fleet/boot_clock.h"
 #include "observe/log.h"
@@ -582,5 +584,60 @@
   EXPECT_LT(endless_server.sent, fakes::EndlessServer::kMaxBytes);
 }
 
+// Guards against taking the time for which a server was not read from, because
+// its caller did not read, for a stall of the server: its stream would begin
+// again at another server, and the server would be avoided.
+TEST_F(GatewayTest, ACallerThatPausesKeepsItsServer) {
+  // More than the kernel buffers of both connections.
+  constexpr int kEvents = 512;
+  const std::string data(65'536, 'x');
+  std::string events;
+  for (int i = 0; i < kEvents; ++i) {
+    events += "id: " + std::to_string(i) + "\ndata: " + data + "\n\n";
+  }
+  ScriptedServer first(
+      "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nResponse-Stamp: s\r\n"
+      "Content-Type: text/event-stream\r\nContent-Length: " +
+      std::to_string(events.size()) + "\r\n\r\n" + events);
+  ScriptedServer other(kRestOfStream);
+  Open(RouteKind::kStream, {&first, &other});
+  Poco::Net::StreamSocket caller(
+      Poco::Net::SocketAddress("127.0.0.1", server_->port()));
+  const std::string request =
+      "POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q\r\n"
+      "Deadline-Ms: 9000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  caller.sendBytes(request.data(), static_cast<int>(request.size()));
+  std::this_thread::sleep_for(milliseconds(700));
+  // The caller reads what the kernel holds while the loop is blocked, so that
+  // the check follows the resumption before the server can be read from.
+  std::promise<void> blocked;
+  std::promise<void> has_read;
+  thread_.loop().Post([&] {
+    thread_.loop().RunAt(thread_.loop().now() + milliseconds(1),
+                         [this] { gateway_->CheckStalls(); });
+    blocked.set_value();
+    has_read.get_future().wait();
+  });
+  blocked.get_future().wait();
+  std::vector<char> buffer(1U << 20U);
+  size_t received = 0;
+  const auto read = [&] {
+    const int got =
+        caller.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    received += static_cast<size_t>(std::max(got, 0));
+    return got > 0;
+  };
+  while (
+      caller.poll(Poco::Timespan(0, 50'000), Poco::Net::Socket::SELECT_READ) &&
+      read()) {
+  }
+  has_read.set_value();
+  while (read()) {
+  }
+  EXPECT_GT(received, events.size());
+  EXPECT_EQ(first.requests, 1);
+  EXPECT_EQ(other.requests, 0);
+}
+
 }  // namespace
 }  // namespace sequoialb
