Split the Connection field once for each head

Cause: whether a field is hop-by-hop was looked up in the whole Connection list for each field of a head; the review of the client limits measured 48 ms for a head of 16,384 bytes and 683 ms for one of 65,536 bytes, in which the event loop stands still. Change: HopByHopFields splits and sorts the list once; a lookup is a binary search.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -570,8 +570,9 @@
                             request.route->kind == RouteKind::kStream &&
                             IsEventStream(head);
   HttpHeaders forwarded;
+  const HopByHopFields hop_by_hop(head.headers);
   for (const HttpHeader& header : head.headers.fields()) {
-    if (!IsHopByHop(header.name, head.headers) &&
+    if (!hop_by_hop.Contains(header.name) &&
         !EqualsIgnoringCase(header.name, "Content-Length")) {
       forwarded.Add(header.name, header.value);
     }
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -15,6 +15,12 @@
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c;
 }
 
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(), &Lower);
+  return lower;
+}
+
 bool IsTokenChar(char c) {
   constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
   return (c >= '0' && c <= '9') || (Lower(c) >= 'a' && Lower(c) <= 'z') ||
@@ -297,7 +303,22 @@
   return response;
 }
 
-bool IsHopByHop(std::string_view name, const HttpHeaders& headers) {
+HopByHopFields::HopByHopFields(const HttpHeaders& headers) {
+  for (const HttpHeader& header : headers.fields()) {
+    if (!EqualsIgnoringCase(header.name, "Connection")) {
+      continue;
+    }
+    std::string_view rest = header.value;
+    while (!rest.empty()) {
+      const size_t comma = rest.find(',');
+      named_.push_back(LowerCase(Trim(rest.substr(0, comma))));
+      rest = comma == std::string_view::npos ? "" : rest.substr(comma + 1);
+    }
+  }
+  std::sort(named_.begin(), named_.end());
+}
+
+bool HopByHopFields::Contains(std::string_view name) const {
   constexpr std::array<std::string_view, 10> kNames = {"Connection",
                                                        "Keep-Alive",
                                                        "Proxy-Connection",
@@ -311,7 +332,7 @@
   return std::any_of(
              kNames.begin(), kNames.end(),
              [&](std::string_view n) { return EqualsIgnoringCase(n, name); }) ||
-         HasListToken(headers, "Connection", name);
+         std::binary_search(named_.begin(), named_.end(), LowerCase(name));
 }
 
 BodyDecoder::BodyDecoder(BodyFraming framing, uint64_t length)
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -98,9 +98,19 @@
 // Parses a decimal number that consists of digits only.
 std::optional<uint64_t> ParseDecimal(std::string_view text);
 
-// True for fields that apply to a single connection and must not be forwarded,
-// including those that `headers` names in its Connection field.
-bool IsHopByHop(std::string_view name, const HttpHeaders& headers);
+// The fields of one head that apply to a single connection and must not be
+// forwarded, including those that its Connection field names. Peers choose the
+// length of that list, so it is split once for each head: looking through it
+// for each field took up to 0.7 s for one head of 64 KB.
+class HopByHopFields {
+ public:
+  explicit HopByHopFields(const HttpHeaders& headers);
+  bool Contains(std::string_view name) const;
+
+ private:
+  // In lower case, sorted.
+  std::vector<std::string> named_;
+};
 
 // Incrementally decodes a message body according to its framing.
 class BodyDecoder {
--- a/test/correctness/http_message_test.cc
+++ b/test/correctness/http_message_test.cc
@@ -12,6 +12,22 @@
   return "POST /a/b?c=d HTTP/1.1\r\nHost: h.example\r\n" + fields + "\r\n";
 }
 
+// A field that Connection names reached the other side of a proxy.
+TEST(HttpMessage, NamesTheFieldsOfOneConnection) {
+  HttpHeaders headers;
+  headers.Add("Connection", "close, X-Once");
+  headers.Add("connection", "Keep,,  x-TWICE ");
+  const HopByHopFields hop_by_hop(headers);
+  for (const char* name : {"x-once", "X-Twice", "keep", "close", "Upgrade",
+                           "Connection", "transfer-encoding"}) {
+    EXPECT_TRUE(hop_by_hop.Contains(name)) << name;
+  }
+  for (const char* name : {"x-onc", "Host", "X-Thrice", "Content-Length"}) {
+    EXPECT_FALSE(hop_by_hop.Contains(name)) << name;
+  }
+  EXPECT_FALSE(HopByHopFields(HttpHeaders()).Contains("X-Once"));
+}
+
 TEST(HttpMessage, ReadsARequestHead) {
   const auto head = ParseRequestHead(Head("Content-Length: 5\r\nX: y\r\n"));
   ASSERT_TRUE(head.has_value());
