--- a/src/fleet/evacuation_acks.cc
+++ b/src/fleet/evacuation_acks.cc
@@ -29,7 +29,8 @@
   std::vector<std::pair<Done, bool>> finished;
   for (Waiting& entry : waiting_) {
     const bool reported = AllReported(entry.version);
-    if (reported || now >= wait_until_) {
+    entry.until = entry.until.value_or(wait_until_);
+    if (reported || now >= *entry.until) {
       finished.emplace_back(std::move(entry.done), reported);
     } else {
       still_waiting.push_back(std::move(entry));
--- a/src/fleet/evacuation_acks.h
+++ b/src/fleet/evacuation_acks.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,11 +37,12 @@
 
   // Calls `done` from a later Tick. `version` has been committed.
   void Await(uint64_t version, Done done) {
-    waiting_.push_back({version, std::move(done)});
+    waiting_.push_back({version, std::move(done), std::nullopt});
   }
 
   // `version` is the committed version, of which the wait counts from the first
-  // Tick that has it; an order that is sent again is not waited for anew.
+  // Tick that has it; an order that is sent again is not waited for anew, and a
+  // later version does not prolong the wait of orders before it.
   void Tick(const std::vector<std::string>& live_fronts, uint64_t version,
             TimePoint now);
 
@@ -48,6 +50,8 @@
   struct Waiting {
     uint64_t version = 0;
     Done done;
+    // When the wait ends; set by the first Tick.
+    std::optional<TimePoint> until;
   };
 
   bool AllReported(uint64_t version) const;
@@ -57,7 +61,7 @@
   std::vector<std::string> live_fronts_;
   std::vector<Waiting> waiting_;
   uint64_t version_ = 0;
-  // When the wait for `version_` ends.
+  // When the wait for orders that made `version_` ends.
   TimePoint wait_until_;
 };
 
--- a/test/correctness/control_service_test.cc
+++ b/test/correctness/control_service_test.cc
@@ -441,6 +441,26 @@
   EXPECT_EQ(answers_, kSuccess);
 }
 
+// Guards against an order whose acknowledgement is put off by each later order,
+// so that operators who evacuate and revoke in turn get none while a front does
+// not report.
+TEST_F(ControlServiceTest, ALaterOrderDoesNotDelayAnAcknowledgement) {
+  Lead();
+  HearFront("f1", 0);
+  Run(milliseconds(40));
+  Order("d2", true);
+  const TimePoint ordered_at = now_;
+  Run(milliseconds(600));
+  EXPECT_TRUE(answers_.empty());
+  HearFront("f1", 0);
+  Order("d2", false);
+  while (answers_.empty() && now_ < ordered_at + seconds(2)) {
+    Run(milliseconds(20));
+  }
+  EXPECT_EQ(answers_, kSuccess);
+  EXPECT_LE(now_ - ordered_at, EvacuationAcks::kMaxWait + milliseconds(60));
+}
+
 // Guards against an order for a misspelled domain that seems to have succeeded,
 // and against a refusal by a host that has just started and knows no domains.
 TEST_F(ControlServiceTest, AnUnknownFailureDomainIsRefused) {
