Choose the owner of a cold server anew when an evacuation changes its fronts

The owner was kept for each list of live fronts, but the fronts that may be assigned to a server also change when another domain is evacuated or the order is revoked. Fronts that had chosen before and after disagreed until the list changed: a cold server could have no owner, or more than one.

--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -392,7 +392,7 @@
     cold.cold_until = known.last_contact + milliseconds(record.cold_left_ms());
   }
   const ColdOwners::Owner owner =
-      cold_owners_.OwnerOf(record.id(), record.failure_domain(), fronts, now);
+      cold_owners_.OwnerOf(record.id(), fronts, now);
   if (owner.front == settings_.host) {
     cold.owner_since = owner.since;
   }
@@ -420,7 +420,10 @@
       {confirmed.live_fronts().begin(), confirmed.live_fronts().end()},
       server_domains, evacuated);
   const bool self_evacuated = evacuated.count(settings_.failure_domain) > 0;
-  cold_owners_.SetLiveFronts(confirmed.live_fronts_hash(), now);
+  cold_owners_.SetLiveFronts(
+      Hash64(std::to_string(confirmed.evacuations_version()),
+             confirmed.live_fronts_hash()),
+      now);
   std::vector<UsableBackend> usable;
   std::map<std::string, std::string> evacuated_backends;
   std::map<std::string, size_t> backends_per_domain;
--- a/src/gateway/cold_limiter.cc
+++ b/src/gateway/cold_limiter.cc
@@ -60,24 +60,25 @@
 }
 
 ColdOwners::Owner ColdOwners::OwnerOf(const std::string& backend,
-                                      const std::string& failure_domain,
                                       const std::vector<std::string>& fronts,
                                       TimePoint now) {
   Entry& entry = entries_[backend];
   entry.used_at = now;
-  if (entry.list_hash && entry.list_hash == list_hash_ &&
-      entry.failure_domain == failure_domain) {
+  uint64_t fronts_hash = 0;
+  for (const std::string& front : fronts) {
+    fronts_hash = Hash64(front, fronts_hash);
+  }
+  if (entry.fronts_hash == fronts_hash) {
     return entry.owner;
   }
   std::string owner = RendezvousOwner(backend, fronts);
-  if (!entry.list_hash) {
+  if (!entry.fronts_hash) {
     // The owner of a new server is known since the list of fronts is.
     entry.owner = {std::move(owner), list_changed_at_};
   } else if (owner != entry.owner.front) {
     entry.owner = {std::move(owner), now};
   }
-  entry.list_hash = list_hash_;
-  entry.failure_domain = failure_domain;
+  entry.fronts_hash = fronts_hash;
   return entry.owner;
 }
 
--- a/src/gateway/cold_limiter.h
+++ b/src/gateway/cold_limiter.h
@@ -68,21 +68,22 @@
     TimePoint since;
   };
 
-  // Sets the hash of the list of all live fronts. Call it with every list, also
-  // when no server is known.
+  // Sets the hash of the list of all live fronts and of what else decides which
+  // of them may be assigned. Call it with every list, also when no server is
+  // known.
   void SetLiveFronts(uint64_t list_hash, TimePoint now);
 
   // Returns the owner of a server among `fronts`, those of the live fronts that
-  // may be assigned to the servers of its failure domain.
-  Owner OwnerOf(const std::string& backend, const std::string& failure_domain,
+  // may be assigned to the servers of its failure domain. They change with the
+  // list of live fronts, and also when another domain is evacuated.
+  Owner OwnerOf(const std::string& backend,
                 const std::vector<std::string>& fronts, TimePoint now);
 
  private:
   struct Entry {
     Owner owner;
-    std::string failure_domain;
-    // The list of live fronts that the owner was chosen from.
-    std::optional<uint64_t> list_hash;
+    // The hash of the fronts that the owner was chosen from.
+    std::optional<uint64_t> fronts_hash;
     TimePoint used_at;
   };
 
--- a/test/correctness/cold_servers_test.cc
+++ b/test/correctness/cold_servers_test.cc
@@ -265,8 +265,8 @@
         known.cold_until = At(cold ? server.cold_until_ms : announced);
         known.announced_at = At(announced);
         known.as_of = At(now_ms_);
-        const ColdOwners::Owner owner = front.owners.OwnerOf(
-            backend.id, "d" + std::to_string(domain), live, At(now_ms_));
+        const ColdOwners::Owner owner =
+            front.owners.OwnerOf(backend.id, live, At(now_ms_));
         if (owner.front == FrontName(front.index)) {
           known.owner_since = owner.since;
         }
@@ -571,14 +571,14 @@
   std::map<std::string, std::string> before;
   for (int server = 0; server < 100; ++server) {
     const std::string name = ServerName(server);
-    before[name] = owners.OwnerOf(name, "d", fronts, At(0)).front;
+    before[name] = owners.OwnerOf(name, fronts, At(0)).front;
   }
   fronts.erase(fronts.begin() + 2);
   owners.SetLiveFronts(2, At(900));
   int moved = 0;
   for (int server = 0; server < 100; ++server) {
     const std::string name = ServerName(server);
-    const ColdOwners::Owner owner = owners.OwnerOf(name, "d", fronts, At(900));
+    const ColdOwners::Owner owner = owners.OwnerOf(name, fronts, At(900));
     const bool lost = before[name] == "h2";
     moved += lost ? 1 : 0;
     EXPECT_EQ(owner.front == before[name], !lost);
@@ -586,12 +586,37 @@
   }
   EXPECT_GT(moved, 0);
   // The owner of a new server has been known since the list of fronts is.
-  EXPECT_EQ(owners.OwnerOf("new", "d", fronts, At(5'000)).since, At(900));
+  EXPECT_EQ(owners.OwnerOf("new", fronts, At(5'000)).since, At(900));
   // Also when the list has changed back while no server was known.
   owners.SetLiveFronts(3, At(5'500));
   owners.SetLiveFronts(2, At(5'600));
-  EXPECT_EQ(owners.OwnerOf("newer", "d", fronts, At(5'700)).since, At(5'600));
-  EXPECT_EQ(owners.OwnerOf("new", "e", {}, At(5'000)).front, "");
+  EXPECT_EQ(owners.OwnerOf("newer", fronts, At(5'700)).since, At(5'600));
+  EXPECT_EQ(owners.OwnerOf("new", {}, At(5'000)).front, "");
+}
+
+// Guards against an owner from before an evacuation: the fronts of the
+// evacuated domain join those of the others while the list of live fronts stays
+// the same. Fronts that have computed an owner before and after would disagree,
+// and a cold server whose owner on each of them is another front gets no
+// request.
+TEST(ColdOwners, TheOwnerFollowsTheFrontsThatMayBeAssigned) {
+  ColdOwners before;
+  ColdOwners after;
+  const std::vector<std::string> own{"a1", "a2"};
+  const std::vector<std::string> shared{"a1", "a2", "b1", "b2", "b3"};
+  before.SetLiveFronts(1, At(0));
+  after.SetLiveFronts(1, At(0));
+  int moved = 0;
+  for (int server = 0; server < 50; ++server) {
+    const std::string name = ServerName(server);
+    const auto old = before.OwnerOf(name, own, At(0));
+    const auto now = before.OwnerOf(name, shared, At(3'000));
+    EXPECT_EQ(now.front, after.OwnerOf(name, shared, At(3'000)).front);
+    EXPECT_EQ(now.since, now.front == old.front ? At(0) : At(3'000));
+    moved += now.front == old.front ? 0 : 1;
+    EXPECT_EQ(before.OwnerOf(name, own, At(9'000)).front, old.front);
+  }
+  EXPECT_GT(moved, 0);
 }
 
 // Guards against counting the slots of a cold server as capacity: items and
