--- a/src/fleet/fleet_settings.cc
+++ b/src/fleet/fleet_settings.cc
@@ -77,7 +77,7 @@
       reader.Uint("max_descriptors", {.min = 0, .max = 10'000'000}, 0);
   settings.cold_excess = reader.Number("cold_excess", 0, 1'000, 1);
   settings.cold_slack = reader.Number("cold_slack", 0, 1'000'000, 0);
-  settings.learn_server_speed = reader.Bool("learn_server_speed", true);
+  settings.learn_server_speed = reader.Bool("learn_server_speed", false);
   settings.log_level = reader.String("log_level", "info");
   if ((settings.control || settings.store) && settings.data_folder.empty()) {
     reader.RecordError("data_folder",
--- a/src/fleet/fleet_settings.h
+++ b/src/fleet/fleet_settings.h
@@ -54,8 +54,10 @@
   // plus `cold_slack` requests in any second.
   double cold_excess = 1;
   double cold_slack = 0;
-  // Learn from observations how much each server takes well.
-  bool learn_server_speed = true;
+  // Learn from observations how much each server takes well. Off by default:
+  // where servers are alike, learned weights made more callers late
+  // (docs/design/server-speed.md).
+  bool learn_server_speed = false;
   std::string log_level = "info";
 
   std::vector<Address> seed_peers() const;
