Reword comments on returning callers, announcements and the directory

Cause: a comment gave a value of the users' accounting as the reason for an order, and three were figurative. Change: comments only.

--- a/src/gateway/cold_limiter.cc
+++ b/src/gateway/cold_limiter.cc
@@ -14,11 +14,11 @@
 // them into a second: one round trip between failure domains is up to 8 ms, and
 // connecting takes another.
 constexpr milliseconds kSpreadSecond{1'030};
-// An announcement heard within this time after a lost connection may have been
-// sent before it: several times the latency between failure domains.
+// An announcement received within this time after a lost connection may have
+// been sent before it: several times the latency between failure domains.
 constexpr milliseconds kAnnouncementDelay{100};
-// A server that is not mentioned for this long is forgotten. Registries forget
-// servers after the same time.
+// An entry is removed when its server has not been listed for this long.
+// Registries remove servers after the same time.
 constexpr milliseconds kForgottenAfter{60'000};
 
 std::string Ms(Duration d) {
--- a/src/gateway/waiting_queue.cc
+++ b/src/gateway/waiting_queue.cc
@@ -6,10 +6,10 @@
 namespace sequoialb {
 namespace {
 
-// A returning caller gets a slot after this many new ones. A timely answer to a
-// second attempt is worth 0.58 of one to the first, but a caller with a shorter
-// deadline than others is taken for a returning one and must still be served a
-// quarter as often.
+// A returning caller gets a slot after this many new ones. It has waited for
+// its answer already, while a new one can still be answered in time at its
+// first attempt. A caller with a shorter deadline than others is taken for a
+// returning one and must still be served a quarter as often.
 constexpr int64_t kNewCallersPerReturning = 4;
 
 }  // namespace
--- a/src/gateway/waiting_queue.h
+++ b/src/gateway/waiting_queue.h
@@ -5,11 +5,11 @@
 // served would make every request late. The queue first serves, in order of
 // arrival, the requests that can still meet their latency target; those that
 // have missed it follow as long as serving them is still useful. Callers that
-// return after a refusal get one slot for several of new callers, whose timely
-// answers are worth more. A request that
-// has waited so long that a slot would no longer help its caller is refused at
-// once and not held until its deadline. Among requests of equal rank, accounts
-// take turns. A pure state machine over request numbers.
+// return after a refusal get one slot for several of new callers, who can still
+// be answered in time at their first attempt. A request that has waited so long
+// that a slot would no longer help its caller is refused at once and not held
+// until its deadline. Among requests of equal rank, accounts take turns. A pure
+// state machine over request numbers.
 #pragma once
 
 #include <cstdint>
