--- a/src/fleet/control_service.cc
+++ b/src/fleet/control_service.cc
@@ -27,8 +27,9 @@
 // Forwarded calls are remembered for several times as long as they are sent
 // again.
 constexpr milliseconds kForwardedCallMemory{10'000};
-// A control host has heard from every host and backend server this long after
-// its start: two announcements, which a server sends about every 1,200 ms.
+// This long after its start, a control host has received a heartbeat or an
+// announcement from every host and backend server in contact: servers announce
+// themselves about every 1,200 ms, and one announcement may be lost.
 constexpr milliseconds kDirectoryFillTime{3'000};
 // A front without a heartbeat for this long (four missed) is no longer listed
 // as live, and its backend servers are assigned to other fronts.
--- a/test/correctness/platform_adapter_test.cc
+++ b/test/correctness/platform_adapter_test.cc
@@ -206,8 +206,8 @@
             ErrorCode::kNotFound);
 }
 
-// An order with a body is refused: its sender may believe that the body says
-// what to evacuate.
+// Guards against an order whose body names other domains than its path being
+// carried out by its path alone: an order with a body is refused.
 TEST(ControlAdapter, DecodesOrdersOfEvacuation) {
   const ControlAdapter adapter;
   for (const bool evacuated : {true, false}) {
