Report a connection whose write failed as broken

What callers saw: a server answered a long request at once with a 200 that had no length, sent a part of its body and reset the connection while the request was still being written. The caller got that part as a complete answer, with the last chunk of a chunked body. A stream that was cut between two events was not resumed, and a batch item was listed with a part of its output.

Cause: the kernel reports the error of a connection once. TcpStream wrote the rest of the request first, which took the error and dropped it; the read after it returned 0, as after an orderly close, and an answer without a length is complete when its connection closes.

A process that ends while none of the request waits in its socket closes the connection, which is reset only when more of the request arrives. The client took the close for the end of the answer before it could see the reset.

Change: a write error other than "try again" is remembered, and the connection then ends as broken whatever the read returns. When the server has closed its side of an answer without a length, the rest of the request is still written; the answer is complete if the server takes it and broken if it does not.

Early answers that are whole, with a length or to a server that reads on, stay complete (IsCompleteWhenTheServerReadsTheRequest, WithALengthEndsThere).

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -48,10 +48,12 @@
       : client_(client),
         loop_(client.loop_),
         address_(address.ToString()),
-        stream_(client.loop_, address,
-                {.on_input = [this] { OnInput(); },
-                 .on_end = [this](StreamEnd end) { OnEnd(end); },
-                 .on_connected = [this] { OnConnected(); }}) {}
+        stream_(
+            client.loop_, address,
+            {.on_input = [this] { OnInput(); },
+             .on_end = [this](StreamEnd end) { OnEnd(end); },
+             .on_connected = [this] { OnConnected(); },
+             .sends_after_input = [this] { return EndsWithConnection(); }}) {}
 
   ~ClientConnection() { loop_.Cancel(timer_); }
 
@@ -209,6 +211,14 @@
     }
   }
 
+  // Whether only the end of the connection shows that the response is complete.
+  // A server may end it before it has read the request; one that crashes does
+  // so too, but then resets the connection when more of the request arrives.
+  bool EndsWithConnection() const {
+    return active_ && head_ && !mismatched_ &&
+           head_->framing == BodyFraming::kUntilClose;
+  }
+
   // Counts bytes that are no part of the call's answer. Fails the call and
   // returns false when there are too many.
   bool Skip(size_t bytes) {
--- a/src/http/tcp_stream.cc
+++ b/src/http/tcp_stream.cc
@@ -33,6 +33,12 @@
   }
 }
 
+// Returns whether a read or a write that failed with this error may succeed
+// later.
+bool IsTransient(int error) {
+  return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
 void SetOption(int fd, int level, int option, int value) {
   ::setsockopt(fd, level, option, &value, sizeof(value));
 }
@@ -116,6 +122,7 @@
                unsent(), MSG_NOSIGNAL);
     if (sent < 0) {
       // If the connection is broken, epoll also reports an error event.
+      write_failed_ = write_failed_ || !IsTransient(errno);
       break;
     }
     output_sent_ += static_cast<size_t>(sent);
@@ -132,14 +139,16 @@
   const bool write = unsent() > 0 || !connected_;
   if (write != wants_write_ && open_) {
     wants_write_ = write;
-    loop_.SetInterest(socket_.impl()->sockfd(), !paused_, wants_write_);
+    loop_.SetInterest(socket_.impl()->sockfd(), !paused_ && !input_ended_,
+                      wants_write_);
   }
 }
 
 void TcpStream::PauseInput(bool paused) {
   if (paused != paused_ && open_) {
     paused_ = paused;
-    loop_.SetInterest(socket_.impl()->sockfd(), !paused_, wants_write_);
+    loop_.SetInterest(socket_.impl()->sockfd(), !paused_ && !input_ended_,
+                      wants_write_);
   }
 }
 
@@ -198,6 +207,14 @@
       }
     }
   }
+  if (input_ended_) {
+    if (failed || write_failed_) {
+      CloseAndNotify(StreamEnd::kBroken);
+    } else if (unsent() == 0) {
+      CloseAndNotify(StreamEnd::kClosed);
+    }
+    return;
+  }
   if (readable || failed) {
     ReadOnce();
   }
@@ -218,10 +235,25 @@
     return;
   }
   if (got == 0) {
-    CloseAndNotify(StreamEnd::kClosed);
-  } else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+    OnInputEnd();
+  } else if (!IsTransient(errno)) {
+    CloseAndNotify(StreamEnd::kBroken);
+  }
+}
+
+void TcpStream::OnInputEnd() {
+  if (write_failed_) {
     CloseAndNotify(StreamEnd::kBroken);
+    return;
+  }
+  if (unsent() > 0 && callbacks_.sends_after_input &&
+      callbacks_.sends_after_input()) {
+    // The end of the input stays readable and would make the loop spin.
+    input_ended_ = true;
+    loop_.SetInterest(socket_.impl()->sockfd(), false, wants_write_);
+    return;
   }
+  CloseAndNotify(StreamEnd::kClosed);
 }
 
 }  // namespace sequoialb
--- a/src/http/tcp_stream.h
+++ b/src/http/tcp_stream.h
@@ -3,7 +3,10 @@
 // Callbacks report received bytes, an emptied output buffer, and the end of the
 // connection. The end is either an orderly close by the peer or a broken
 // connection; data cut off by a broken connection must never be treated as
-// complete.
+// complete. The kernel reports the error of a connection only once, to a read
+// or to a write, and after that a read finds an end like that of an orderly
+// close. A connection on which a write has failed is therefore broken, however
+// its input ends.
 #pragma once
 
 #include <Poco/Net/StreamSocket.h>
@@ -31,6 +34,10 @@
     std::function<void()> on_connected = nullptr;
     // All buffered output has been handed to the kernel.
     std::function<void()> on_drained = nullptr;
+    // Asked when the peer has ended its data while output is unsent. If it
+    // returns true, the output is sent first, and on_end then tells whether the
+    // peer took it; otherwise the connection ends at once. May be empty.
+    std::function<bool()> sends_after_input = nullptr;
   };
 
   // Wraps an accepted connection.
@@ -64,6 +71,7 @@
   // Reports a connection that could not be started.
   void FailToConnect(StreamEnd end);
   void ReadOnce();
+  void OnInputEnd();
   void Flush();
   void UpdateInterest();
   void CloseAndNotify(StreamEnd end);
@@ -78,6 +86,9 @@
   bool paused_ = false;
   bool open_ = true;
   bool wants_write_ = false;
+  bool write_failed_ = false;
+  // The peer has ended its data, and output is still being sent.
+  bool input_ended_ = false;
   // Lets a method detect that a callback has deleted this stream.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/test/correctness/broken_answers_test.cc
+++ b/test/correctness/broken_answers_test.cc
@@ -96,6 +96,10 @@
 
 class BrokenAnswersTest : public fakes::FleetFixture {
  protected:
+  // As large as the front accepts, and more than the sockets between it and a
+  // server buffer.
+  static constexpr size_t kLongBody = 4U << 20U;
+
   // Adds the services "t0", "t1", ... with routes of several kinds each. The
   // routes /a/ and /b/ of the fixture stay.
   void AddServices(size_t count) {
@@ -211,6 +215,59 @@
   }
 }
 
+// Guards against the part of an answer that a caller takes for a whole one: the
+// server answers a long request at once, without a length, and resets the
+// connection before it has read the request.
+TEST_F(BrokenAnswersTest, APartBeforeAResetDuringTheRequestIsCut) {
+  const std::string body(kLongBody, 'x');
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nRequest-Id: @\r\nResponse-Stamp: s\r\n";
+  BrokenServer plain({"plain", head + "\r\npart", Ending::kReset});
+  BrokenServer events({"events",
+                       head + "Content-Type: text/event-stream\r\n\r\n" +
+                           "id: 0\ndata: t0\n\nid: 1\ndata: t1\n\n",
+                       Ending::kReset});
+  AddServices(2);
+  for (const char* kind : {"once", "again", "events"}) {
+    for (const std::string& bytes :
+         {BytesFrom(plain, 0, kind, body), BytesFrom(events, 1, kind, body)}) {
+      // Cut inside its body, or refused without a promise.
+      const Answer answer = fakes::Parse(bytes);
+      EXPECT_TRUE(answer.status == 0 || answer.status == 502)
+          << kind << " " << bytes;
+      EXPECT_EQ(bytes.find("not_run"), std::string::npos) << bytes;
+    }
+  }
+}
+
+// The stream goes on at another server.
+TEST_F(BrokenAnswersTest, AStreamCutDuringTheRequestIsResumed) {
+  const std::string body(kLongBody, 'x');
+  BrokenServer server({"events",
+                       "HTTP/1.1 200 OK\r\nRequest-Id: @\r\n"
+                       "Response-Stamp: s\r\n"
+                       "Content-Type: text/event-stream\r\n\r\n"
+                       "id: 0\ndata: t0\n\nid: 1\ndata: t1\n\n",
+                       Ending::kReset});
+  AddServices(1);
+  // A sound server of the same service in another failure domain: the front
+  // prefers the local one.
+  std::string sound = engines_[1]->AnnouncementBody("d1", 1'000);
+  sound.replace(sound.find("\"s\""), 3, "\"t0\"");
+  WaitUntil([&] {
+    Call(ControlAt(1), "PUT /sequoialb/instances/e1", "", sound);
+    return fakes::Parse(SendRequest("events0")).status == 200;
+  });
+  WaitUntil([&] {
+    Announce(server, "broken", "t0");
+    const std::string bytes = SendRequest("events0", body);
+    const Answer answer = fakes::Parse(bytes);
+    EXPECT_EQ(answer.status, 200) << bytes;
+    EXPECT_EQ(answer.body, WholeStream()) << bytes;
+    return server.requests >= 3;
+  });
+}
+
 // Items that a broken server has got are done by the others, with their whole
 // output.
 TEST_F(BrokenAnswersTest, ItemsWithMalformedHeadsAreDoneByOtherServers) {
--- a/test/correctness/http_client_test.cc
+++ b/test/correctness/http_client_test.cc
@@ -186,6 +186,81 @@
   EXPECT_EQ(outcome.failure, CallFailure::kBroken);
 }
 
+// A server that answers before it has read the request. The request is more
+// than the sockets of both ends buffer, so that some of it is unsent when the
+// answer ends.
+class EarlyAnswerTest : public HttpClientTest {
+ protected:
+  static constexpr char kPart[] = "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart";
+
+  // `end` ends the connection after the answer.
+  Outcome CallWithLongBody(
+      const std::function<void(Poco::Net::StreamSocket&)>& end,
+      const std::string& answer = kPart) {
+    RawServer server([&](Poco::Net::StreamSocket& socket, int) {
+      char head[512];
+      socket.receiveBytes(head, sizeof(head));
+      RawServer::Write(socket, answer);
+      end(socket);
+    });
+    return Call(server.address(), "a", std::string(64U << 20U, 'x'));
+  }
+
+  static void Pause() { std::this_thread::sleep_for(milliseconds(30)); }
+  static void Reset(Poco::Net::StreamSocket& socket) {
+    socket.setLinger(true, 0);
+  }
+};
+
+TEST_F(EarlyAnswerTest, IsBrokenWhenItsConnectionIsReset) {
+  for (int i = 0; i < 10; ++i) {
+    const Outcome outcome = CallWithLongBody([](auto& socket) {
+      Pause();
+      Reset(socket);
+    });
+    EXPECT_EQ(outcome.status, 200);
+    EXPECT_EQ(outcome.failure, CallFailure::kBroken);
+  }
+}
+
+// The process ends while nothing of the request is waiting in its socket: the
+// kernel closes the connection and resets it when more arrives.
+TEST_F(EarlyAnswerTest, IsBrokenWhenItsConnectionIsClosedAndThenReset) {
+  for (int i = 0; i < 10; ++i) {
+    const Outcome outcome = CallWithLongBody([](auto& socket) {
+      socket.shutdownSend();
+      Pause();
+      Reset(socket);
+    });
+    EXPECT_EQ(outcome.failure, CallFailure::kBroken);
+  }
+}
+
+TEST_F(EarlyAnswerTest, IsCompleteWhenTheServerReadsTheRequest) {
+  const Outcome outcome = CallWithLongBody([](auto& socket) {
+    socket.shutdownSend();
+    std::vector<char> rest(1U << 20U);
+    while (socket.receiveBytes(rest.data(), static_cast<int>(rest.size())) >
+           0) {
+    }
+  });
+  EXPECT_TRUE(outcome.complete);
+  EXPECT_EQ(outcome.body, "part");
+}
+
+// Its length shows that it is complete or cut, whatever becomes of the request.
+TEST_F(EarlyAnswerTest, WithALengthEndsThere) {
+  const auto reset = [](auto& socket) {
+    Pause();
+    Reset(socket);
+  };
+  EXPECT_TRUE(CallWithLongBody(reset, Answer("a", "whole")).complete);
+  const std::string answer = Answer("a", "whole");
+  EXPECT_EQ(
+      CallWithLongBody(reset, answer.substr(0, answer.size() - 1)).failure,
+      CallFailure::kBroken);
+}
+
 TEST_F(HttpClientTest, ATruncatedAnswerIsBroken) {
   for (const char* answer :
        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
--- a/test/correctness/item_runner_test.cc
+++ b/test/correctness/item_runner_test.cc
@@ -187,6 +187,25 @@
   EXPECT_EQ(outcome.last_event(), 5U);
 }
 
+// Guards against an item that is listed as complete with a part of its output:
+// the server answers before it has read the request, and resets the connection.
+TEST_F(ItemRunnerTest, AResetDuringTheRequestReturnsTheItemWithItsProgress) {
+  RawServer server([](auto& socket, int) {
+    char head[512];
+    socket.receiveBytes(head, sizeof(head));
+    RawServer::Write(socket,
+                     std::string(kStreamHead) + "id: 5\ndata: five\n\n");
+    std::this_thread::sleep_for(milliseconds(30));
+    socket.setLinger(true, 0);
+  });
+  Open(server.address());
+  offer_.mutable_item()->set_body(std::string(64U << 20U, 'x'));
+  const proto::ItemOutcome outcome = RunItem();
+  EXPECT_EQ(outcome.kind(), proto::ItemOutcome::kReturned);
+  EXPECT_EQ(outcome.output(), "earlier\nfive");
+  EXPECT_EQ(outcome.last_event(), 5U);
+}
+
 TEST_F(ItemRunnerTest, AnUnframedAnswerWithoutEventsReturnsTheItem) {
   RawServer server([](auto& socket, int) {
     RawServer::ReadRequest(socket);
