Treat an error answer that is cut as broken

What callers saw: a server of a plain service answered 4xx or 5xx and its connection ended inside the body. sequoialbd sent the caller that status with the part of the body, framed as whole. A call that may be repeated was not tried at another server.

Cause: the status was looked at before the end of the body. An answer of 400 or more was "rejected" or a server error whether or not it had ended as its framing says; the same held for a body over the limit.

Change: a body that did not end makes the attempt broken, whatever its status. A call that may run once then gets 502 with an unknown outcome.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -49,3 +49,13 @@
 add_test(NAME hostile_daemon_heads COMMAND hostile_clients
   --gtest_filter=HostileClientsOfDaemon.TricklesHeads)
 set_tests_properties(hostile_daemon_heads PROPERTIES RUN_SERIAL TRUE TIMEOUT 120)
+
+# The real programs against servers whose answers are broken.
+add_executable(program_answers test/broken/program_answers.cc
+  test/scenarios/fleet.cc)
+target_compile_options(program_answers PRIVATE ${SEQUOIALB_WARNINGS})
+target_compile_definitions(program_answers PRIVATE
+  SEQUOIALB_PROGRAMS="${CMAKE_BINARY_DIR}" SEQUOIALB_ROOT="${CMAKE_SOURCE_DIR}")
+target_link_libraries(program_answers PRIVATE libsequoialb GTest::gtest_main)
+add_dependencies(program_answers sequoialbd)
+add_test(NAME program_answers COMMAND program_answers)
--- a/src/requests/backend_client.cc
+++ b/src/requests/backend_client.cc
@@ -360,16 +360,17 @@
       content_complete = !on_bytes(*data, broken);
     } else if (result.body.size() + data->size() > kMaxBodyBytes) {
       broken = true;
+      result.detail = "the body does not end";
     } else {
       result.body.append(*data);
     }
   }
-  if (result.http_status >= kFirstServerError) {
+  if (broken || (streamed && !content_complete)) {
+    result.outcome = AttemptOutcome::kBroken;
+  } else if (result.http_status >= kFirstServerError) {
     result.outcome = AttemptOutcome::kServerError;
   } else if (result.http_status >= kFirstClientError) {
     result.outcome = AttemptOutcome::kRejected;
-  } else if (broken || (streamed && !content_complete)) {
-    result.outcome = AttemptOutcome::kBroken;
   } else {
     result.outcome = AttemptOutcome::kComplete;
     // A connection that is not kept needs no reading to the end of the body.
--- /dev/null
+++ b/test/broken/program_answers.cc
@@ -0,0 +1,200 @@
+// Tests of the real program sequoialbd against servers whose answers are
+// malformed or cut: what their callers get, and whether it tells
+// the truth about execution.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <mutex>
+
+#include "../fakes/raw_sockets.h"
+#include "../scenarios/fleet.h"
+#include "base/hash.h"
+#include "client/http_client.h"
+#include "settings/json_fields.h"
+
+namespace sequoialb {
+namespace {
+
+using fakes::RawServer;
+
+constexpr seconds kWaitTimeout{30};
+constexpr seconds kCallTimeout{15};
+
+// Answers that are malformed or end early. Each would be an answer of its
+// status if it were taken as it is.
+std::vector<std::string> BrokenAnswers() {
+  const std::string whole = "Content-Length: 2\r\n\r\nok";
+  return {
+      "HTTP/1.1 000 Weird\r\n" + whole,
+      "HTTP/1.1 200 OK\r\nX Y: z\r\n" + whole,
+      "HTTP/1.1 200 OK\r\nX : z\r\n" + whole,
+      "HTTP/1.1 200 OK\r\nX\x01Y: z\r\n" + whole,
+      "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok and more",
+      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\npart",
+      "HTTP/1.1 404 Not Found\r\nContent-Length: 9\r\n\r\npart",
+      "HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+      "HTTP/1.1 200 OK\r\nX: y",
+  };
+}
+
+// A server that gives each request the next of its answers, again from the
+// first after the last, and then closes the connection.
+class ScriptedServer : public RawServer {
+public:
+  explicit ScriptedServer(std::vector<std::string> answers)
+      : RawServer([this, answers = std::move(answers)](auto &socket, int) {
+          if (!ReadRequest(socket).empty()) {
+            const int number = requests++;
+            Write(socket,
+                  answers[static_cast<size_t>(number) % answers.size()]);
+          }
+        }) {}
+
+  std::atomic<int> requests{0};
+};
+
+// One host with the cart-desk document and a key.
+class ProgramAnswersTest : public ::testing::Test {
+protected:
+  void SetUp() override {
+    folder_ =
+        std::filesystem::temp_directory_path() / ("programs_" + RandomHex(8));
+    fleet_ =
+        std::make_unique<scenario::Fleet>(SEQUOIALB_PROGRAMS, folder_.string());
+    fleet_->MakeHosts(1, 1, 1, "", false, false);
+    fleet_->Start("h1");
+    WaitUntil([&] { return Send("GET", "/readyz", "", "").status == 200; });
+    const std::string document =
+        *ReadFile(SEQUOIALB_ROOT "/examples/cart-desk.json");
+    WaitUntil([&] {
+      return Send("PUT", "/admin/v1/documents/cart-desk?base_version=0",
+                  document, fleet_->token())
+                 .status == 200;
+    });
+    const HttpResponse given =
+        Send("POST", "/admin/v1/keys", R"({"account":"outfitter-arda"})",
+             fleet_->token());
+    ASSERT_LT(given.status, 300) << given.body;
+    key_ = JsonDocument::Parse(given.body, "key")->root["key"].asString();
+    announcer_ = std::thread([this] { AnnounceRepeatedly(); });
+  }
+
+  void TearDown() override {
+    stopping_ = true;
+    if (announcer_.joinable()) {
+      announcer_.join();
+    }
+    fleet_.reset();
+    std::filesystem::remove_all(folder_);
+  }
+
+  static void WaitUntil(const std::function<bool()> &done) {
+    const TimePoint limit = Clock::now() + kWaitTimeout;
+    while (!done()) {
+      ASSERT_LT(Clock::now(), limit);
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+  }
+
+  // Returns status 0 when no whole answer has come.
+  HttpResponse Send(const std::string &method, const std::string &path,
+                    const std::string &body, const std::string &bearer) {
+    HttpRequest request;
+    request.method = method;
+    request.server = fleet_->At("h1").http;
+    request.path = path;
+    request.body = body;
+    request.deadline = Clock::now() + kCallTimeout;
+    request.headers["Authorization"] = "Bearer " + bearer;
+    const auto answer = SendHttpRequest(request);
+    return answer ? *answer : HttpResponse{};
+  }
+
+  // The host knows the server when this returns.
+  void Announce(const RawServer &server, const std::string &id, bool plain) {
+    const std::string body =
+        R"({"id":")" + id + R"(","address":")" + server.address().ToString() +
+        R"(","service":"cart-desk","failure_domain":"d1","slots":4,)" +
+        (plain ? R"("plain":true})" : R"("models":["cart-7b"]})");
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      announced_[id] = body;
+    }
+    WaitUntil([&] {
+      return Send("GET", "/admin/v1/backends", "", fleet_->token())
+                 .body.find("\"" + id + "\"") != std::string::npos;
+    });
+  }
+
+  std::filesystem::path folder_;
+  std::unique_ptr<scenario::Fleet> fleet_;
+  std::string key_;
+
+private:
+  void AnnounceRepeatedly() {
+    while (!stopping_) {
+      std::map<std::string, std::string> announced;
+      {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        announced = announced_;
+      }
+      for (const auto &[id, body] : announced) {
+        Send("POST", "/v1/backends/announce", body, "");
+      }
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+  }
+
+  std::mutex mutex_;
+  std::map<std::string, std::string> announced_;
+  std::atomic<bool> stopping_{false};
+  std::thread announcer_;
+};
+
+// The server got the request, so it may have run.
+void ExpectUnknown(const HttpResponse &answer, const std::string &broken) {
+  EXPECT_EQ(answer.status, 502) << broken << "\n" << answer.body;
+  EXPECT_NE(answer.body.find("\"run\":\"unknown\""), std::string::npos)
+      << broken << "\n"
+      << answer.body;
+}
+
+// One server for each answer, because the host avoids a server that has failed
+// for some time.
+TEST_F(ProgramAnswersTest, ABrokenAnswerOfAPlainServiceReachesNoCaller) {
+  std::vector<std::unique_ptr<ScriptedServer>> servers;
+  for (const std::string &broken : BrokenAnswers()) {
+    servers.push_back(
+        std::make_unique<ScriptedServer>(std::vector<std::string>{broken}));
+    Announce(*servers.back(), "p" + std::to_string(servers.size()), true);
+  }
+  const auto has_request = [](const auto &server) {
+    return server->requests > 0;
+  };
+  WaitUntil([&] {
+    int before = 0;
+    for (const auto &server : servers) {
+      before += server->requests;
+    }
+    // A request that may be sent once.
+    const HttpResponse answer = Send("POST", "/bookings/1", "b", key_);
+    int sent = -before;
+    for (const auto &server : servers) {
+      sent += server->requests;
+    }
+    if (sent == 0) {
+      EXPECT_NE(answer.body.find("\"run\":\"not_run\""), std::string::npos)
+          << answer.body;
+    } else {
+      EXPECT_EQ(sent, 1);
+      ExpectUnknown(answer, "");
+    }
+    return std::all_of(servers.begin(), servers.end(), has_request);
+  });
+}
+
+} // namespace
+} // namespace sequoialb
--- a/test/correctness/backend_client_test.cc
+++ b/test/correctness/backend_client_test.cc
@@ -72,6 +72,40 @@
   }
 }
 
+// Guards against an error whose body ends early and reaches the caller of a
+// plain service as a whole one.
+TEST_F(BackendClientTest, AnErrorThatEndsEarlyIsBroken) {
+  const std::vector<std::pair<std::string, AttemptOutcome>> statuses = {
+      {"404 Not Found", AttemptOutcome::kRejected},
+      {"500 Failed", AttemptOutcome::kServerError}};
+  for (const auto& [status, outcome] : statuses) {
+    const std::string whole =
+        "HTTP/1.1 " + status + "\r\nContent-Length: 4\r\n\r\nbody";
+    for (size_t size = whole.size() - 4; size <= whole.size(); ++size) {
+      RawServer server([&](Poco::Net::StreamSocket& socket, int) {
+        RawServer::ReadRequest(socket);
+        RawServer::Write(socket, whole.substr(0, size));
+      });
+      EXPECT_EQ(Run(server.address()).outcome,
+                size == whole.size() ? outcome : AttemptOutcome::kBroken)
+          << whole.substr(0, size);
+    }
+  }
+}
+
+TEST_F(BackendClientTest, AMalformedHeadIsBroken) {
+  for (const char* head :
+       {"HTTP/1.1 000 Weird\r\n", "HTTP/1.1 200 OK\r\nX Y: z\r\n",
+        "HTTP/1.1 200 OK\r\nX : z\r\n", "HTTP/1.1 200 OK\r\nX\x01Y: z\r\n"}) {
+    RawServer server([&](Poco::Net::StreamSocket& socket, int) {
+      RawServer::ReadRequest(socket);
+      RawServer::Write(socket,
+                       std::string(head) + "Content-Length: 2\r\n\r\n{}");
+    });
+    EXPECT_EQ(Run(server.address()).outcome, AttemptOutcome::kBroken) << head;
+  }
+}
+
 TEST_F(BackendClientTest, HeaderFieldsWithoutEndAreBroken) {
   EndlessServer server("HTTP/1.1 200 OK\r\n", "X: y\r\n");
   EXPECT_EQ(Run(server.address()).outcome, AttemptOutcome::kBroken);
