Read the answers to orders with the strict parser

What operators saw: a server whose answer to an order had status 000, a malformed header field or a body that was cut was reported as having answered, with that status and body, and the order was recorded as finished.

Cause: the orders used the HTTP client of POCO, which takes status 000, keeps names with blanks or control bytes as fields of their own, and ends a cut body without an error.

Change: the reader of BackendClient is now src/http/response_reader, and the orders use it too. A malformed or cut answer is backend_failed with an unknown outcome; the order stays under way, as after an answer that was lost, and may be sent again under its id.

BackendClient reads as before: its tests are unchanged.

--- a/src/orders/order_service.cc
+++ b/src/orders/order_service.cc
@@ -1,11 +1,12 @@
 #include "orders/order_service.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 
+#include <algorithm>
+
+#include "http/response_reader.h"
 #include "ledger/command_results.h"
 #include "settings/json_fields.h"
 
@@ -15,6 +16,7 @@
 constexpr seconds kProposeTimeout{3};
 // An order is sent only if at least this much of the session lease is left.
 constexpr milliseconds kMinLeaseLeft{500};
+constexpr milliseconds kMinTimeout{10};
 // The longest response to an order that is read.
 constexpr size_t kMaxAnswerBytes = 1'048'576;
 
@@ -59,37 +61,60 @@
   static_cast<void>(host.Propose(command, Clock::now() + kProposeTimeout));
 }
 
+Poco::Timespan TimeLeft(TimePoint deadline) {
+  const auto left = std::max<Duration>(kMinTimeout, deadline - Clock::now());
+  return {std::chrono::duration_cast<std::chrono::microseconds>(left).count()};
+}
+
+std::string RequestBytes(const std::string& address, const std::string& body) {
+  return "POST /v1/orders HTTP/1.1\r\nHost: " + address +
+         "\r\nConnection: close\r\nContent-Type: application/json"
+         "\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+Result<OrderOutcome> ReadAnswer(Poco::Net::StreamSocket& socket,
+                                TimePoint deadline) {
+  ResponseReader response(socket, deadline);
+  const auto head = response.ReadHead();
+  if (!head) {
+    return tl::unexpected<Error>(head.error());
+  }
+  OrderOutcome outcome;
+  outcome.http_status = head->status;
+  while (!response.whole()) {
+    const auto data = response.ReadBody();
+    if (!data) {
+      return tl::unexpected<Error>(data.error());
+    }
+    outcome.body += *data;
+    if (outcome.body.size() > kMaxAnswerBytes) {
+      return Fail(ErrorCode::kIo, "the response to the order has no end");
+    }
+  }
+  return outcome;
+}
+
 Result<OrderOutcome> Post(const proto::Backend& backend,
                           const std::string& body, Duration timeout) {
-  OrderOutcome outcome;
   const TimePoint deadline = Clock::now() + timeout;
+  std::string reason;
   try {
-    Poco::Net::HTTPClientSession session{
-        Poco::Net::SocketAddress(backend.address())};
-    session.setTimeout(Poco::Timespan(
-        std::chrono::duration_cast<std::chrono::microseconds>(timeout)
-            .count()));
-    Poco::Net::HTTPRequest request("POST", "/v1/orders", "HTTP/1.1");
-    request.setContentType("application/json");
-    request.setContentLength(static_cast<std::streamsize>(body.size()));
-    session.sendRequest(request) << body << std::flush;
-    Poco::Net::HTTPResponse response;
-    std::istream& in = session.receiveResponse(response);
-    outcome.http_status = response.getStatus();
-    for (int c = in.get(); c != std::istream::traits_type::eof();
-         c = in.get()) {
-      outcome.body.push_back(static_cast<char>(c));
-      if (outcome.body.size() > kMaxAnswerBytes || Clock::now() >= deadline) {
-        return Fail(ErrorCode::kBackendFailed,
-                    "the response to the order has no end", RunState::kUnknown);
-      }
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(backend.address()),
+                   TimeLeft(deadline));
+    socket.setSendTimeout(TimeLeft(deadline));
+    SendAll(socket, RequestBytes(backend.address(), body));
+    auto outcome = ReadAnswer(socket, deadline);
+    if (outcome) {
+      return outcome;
     }
+    reason = outcome.error().detail;
   } catch (const Poco::Exception& e) {
-    return Fail(ErrorCode::kBackendFailed,
-                "no response to the order: " + e.displayText(),
-                RunState::kUnknown);
+    reason = e.displayText();
   }
-  return outcome;
+  return Fail(ErrorCode::kBackendFailed,
+              "no whole response to the order: " + reason, RunState::kUnknown);
 }
 
 }  // namespace
--- a/src/requests/backend_client.cc
+++ b/src/requests/backend_client.cc
@@ -6,10 +6,10 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <array>
 
 #include "base/hash.h"
 #include "http/message.h"
+#include "http/response_reader.h"
 #include "observe/log.h"
 
 namespace sequoialb {
@@ -19,9 +19,6 @@
 constexpr seconds kIdleTimeout{20};
 constexpr milliseconds kMinTimeout{10};
 constexpr size_t kMaxIdlePerServer = 64;
-constexpr size_t kReadBytes = 16U << 10U;
-// The head of an answer, with the interim answers before it.
-constexpr size_t kMaxHeadBytes = 64U << 10U;
 constexpr size_t kMaxBodyBytes = 16U << 20U;
 // Bytes that are read after the end of a stream so that its connection can be
 // reused; a server that sends more loses the connection.
@@ -30,7 +27,6 @@
 // attempts.
 constexpr size_t kMaxSkippedBytes = 256U << 10U;
 constexpr size_t kAttemptIdBytes = 8;
-constexpr int kFirstFinalStatus = 200;
 constexpr int kFirstServerError = 500;
 constexpr int kFirstClientError = 400;
 
@@ -60,31 +56,18 @@
          "\r\n\r\n" + request.body;
 }
 
-void SendAll(Poco::Net::StreamSocket& socket, const std::string& bytes) {
-  size_t sent = 0;
-  while (sent < bytes.size()) {
-    const int count = socket.sendBytes(bytes.data() + sent,
-                                       static_cast<int>(bytes.size() - sent));
-    if (count <= 0) {
-      throw Poco::Net::ConnectionAbortedException(
-          "the request could not be sent");
-    }
-    sent += static_cast<size_t>(count);
-  }
-}
-
 // Reads the answer to one attempt from a blocking connection.
 class AnswerReader {
  public:
   AnswerReader(Poco::Net::StreamSocket& socket, TimePoint deadline)
-      : socket_(socket), deadline_(deadline) {}
+      : response_(socket, deadline) {}
 
-  // Reads the head of the answer to the attempt, after any interim heads and
-  // answers to other attempts. Fails if the head names no attempt and the
-  // connection has carried others.
+  // Reads the head of the answer to the attempt, after any answers to other
+  // attempts. Fails if the head names no attempt and the connection has carried
+  // others.
   Result<ResponseHead> ReadHead(const std::string& id, bool reused) {
     while (true) {
-      auto head = ReadFinalHead();
+      auto head = response_.ReadHead();
       if (!head) {
         return head;
       }
@@ -102,127 +85,28 @@
                  {"answer_to", *head->headers.Find(kAttemptHeader)}});
       }
       other_answers_ = true;
-      if (skipped_ > kMaxSkippedBytes ||
-          !SkipBody(kMaxSkippedBytes - skipped_)) {
+      if (response_.skipped() > kMaxSkippedBytes ||
+          !response_.SkipBody(kMaxSkippedBytes - response_.skipped())) {
         return Fail(ErrorCode::kBackendFailed,
                     "answers to other requests do not end");
       }
     }
   }
 
-  // Returns the next bytes of the body, and none once it has ended.
-  Result<std::string> ReadBody() {
-    std::string data;
-    while (data.empty() &&
-           decoder_->state() == BodyDecoder::State::kIncomplete) {
-      input_.erase(0, decoder_->Feed(input_, data));
-      if (!data.empty() ||
-          decoder_->state() != BodyDecoder::State::kIncomplete) {
-        break;
-      }
-      const Status received = Receive();
-      if (!received) {
-        return tl::unexpected<Error>(received.error());
-      }
-      if (ended_) {
-        decoder_->OnConnectionClosed();
-        break;
-      }
-    }
-    if (data.empty() && !whole()) {
-      return Fail(ErrorCode::kBackendFailed,
-                  "the connection ended before the end of the body");
-    }
-    return data;
-  }
-
-  // The body has ended as its framing says.
-  bool whole() const { return decoder_->state() == BodyDecoder::State::kDone; }
-
-  // Reads and discards the rest of the body, of at most `max_bytes`. Returns
-  // false when the end does not come.
-  bool SkipBody(size_t max_bytes) {
-    size_t skipped = 0;
-    while (!whole() && skipped <= max_bytes) {
-      const auto data = ReadBody();
-      if (!data) {
-        return false;
-      }
-      skipped += data->size();
-    }
-    skipped_ += skipped;
-    return whole() && skipped <= max_bytes;
-  }
+  Result<std::string> ReadBody() { return response_.ReadBody(); }
+  bool SkipBody(size_t max_bytes) { return response_.SkipBody(max_bytes); }
 
   // The answer was the only one and named the attempt, nothing follows it, and
   // the connection is open.
   bool connection_clean() const {
-    return named_ == NamedRequest::kThis && !other_answers_ && !ended_ &&
-           input_.empty();
+    return named_ == NamedRequest::kThis && !other_answers_ &&
+           response_.clean();
   }
 
  private:
-  // Reads the next head that is not interim.
-  Result<ResponseHead> ReadFinalHead() {
-    size_t head_bytes = 0;
-    while (true) {
-      const auto size = HeadSize(input_);
-      if (!size) {
-        if (head_bytes + input_.size() > kMaxHeadBytes) {
-          return Fail(ErrorCode::kBackendFailed, "the head does not end");
-        }
-        const Status received = Receive();
-        if (!received) {
-          return tl::unexpected<Error>(received.error());
-        }
-        if (ended_) {
-          return Fail(ErrorCode::kBackendFailed,
-                      "the connection ended before the end of the head");
-        }
-        continue;
-      }
-      auto head = ParseResponseHead(std::string_view{input_}.substr(0, *size));
-      input_.erase(0, *size);
-      head_bytes += *size;
-      skipped_ += *size;
-      if (!head || head->status >= kFirstFinalStatus) {
-        if (head) {
-          decoder_.emplace(head->framing, head->length);
-        }
-        return head;
-      }
-    }
-  }
-
-  Status Receive() {
-    const auto late = Fail(ErrorCode::kDeadlineExceeded,
-                           "the answer did not end before the deadline");
-    // Each read is limited by the deadline, but a server may send a byte at a
-    // time without end.
-    if (Clock::now() >= deadline_) {
-      return late;
-    }
-    socket_.setReceiveTimeout(TimeLeft(deadline_));
-    std::array<char, kReadBytes> buffer{};
-    try {
-      const int count = socket_.receiveBytes(buffer.data(), buffer.size());
-      ended_ = count <= 0;
-      input_.append(buffer.data(), ended_ ? 0 : static_cast<size_t>(count));
-    } catch (const Poco::TimeoutException&) {
-      return late;
-    }
-    return {};
-  }
-
-  Poco::Net::StreamSocket& socket_;
-  TimePoint deadline_;
-  std::string input_;
-  std::optional<BodyDecoder> decoder_;
+  ResponseReader response_;
   NamedRequest named_ = NamedRequest::kNone;
   bool other_answers_ = false;
-  // Bytes of heads, and of bodies that were discarded.
-  size_t skipped_ = 0;
-  bool ended_ = false;
 };
 
 // Ends blocking reads on a socket from another thread. The descriptor stays
--- a/test/broken/program_answers.cc
+++ b/test/broken/program_answers.cc
@@ -196,6 +196,22 @@
   });
 }
 
+// The order's id stays the same: another order is refused while the outcome of
+// one is unknown.
+TEST_F(ProgramAnswersTest, ABrokenAnswerToAnOrderReachesNoOperator) {
+  const std::vector<std::string> answers = BrokenAnswers();
+  ScriptedServer server(answers);
+  Announce(server, "e1", false);
+  for (size_t i = 0; i < answers.size(); ++i) {
+    const HttpResponse answer =
+        Send("POST", "/admin/v1/orders",
+             R"({"backend":"e1","order_id":"o1","order":{"load":"x"}})",
+             fleet_->token());
+    ExpectUnknown(answer, answers[i]);
+    EXPECT_EQ(server.requests, static_cast<int>(i + 1));
+  }
+}
+
 // The first server runs a part of the request, so a refusal by the second does
 // not mean that nothing ran.
 TEST_F(ProgramAnswersTest, ARefusalAfterACutStreamDoesNotSayNotRun) {
