Report the outcome of a command truthfully when an answer is broken

What operators saw: after a broken answer the command line went on to the next host, also with a POST that the first one may have run, and reported what that host said, for instance "not run". A cut answer alone ended with exit code 0.

Cause: every failed call was followed by the next host, and the last error won.

Change: a POST that a host may have run is not sent to another one. Once the outcome is unknown it stays so, whatever later hosts answer, and the exit code is 4; exit code 3 means that no host was reached. A host that cannot be reached has run nothing, so `sequoialb ask` tries the next one.

Evidence: ProgramAnswersTest.TheCommandLineReportsBrokenAnswers, TheCommandLineRepeatsOnlyWhatMayRunTwice and TheCommandLineKeepsAnUnknownOutcome failed before.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -57,5 +57,5 @@
 target_compile_definitions(program_answers PRIVATE
   SEQUOIALB_PROGRAMS="${CMAKE_BINARY_DIR}" SEQUOIALB_ROOT="${CMAKE_SOURCE_DIR}")
 target_link_libraries(program_answers PRIVATE libsequoialb GTest::gtest_main)
-add_dependencies(program_answers sequoialbd)
+add_dependencies(program_answers sequoialbd sequoialb)
 add_test(NAME program_answers COMMAND program_answers)
--- a/src/client/caller_commands.cc
+++ b/src/client/caller_commands.cc
@@ -25,7 +25,7 @@
     options.idempotency_key = context_.Text("--idempotency-key");
     options.ca_file = context_.ca_file();
     options.deadline = context_.Deadline();
-    Error last_error{ErrorCode::kIo, "no host answered", RunState::kUnknown};
+    Error last_error{ErrorCode::kIo, "no host answered", RunState::kNotRun};
     for (const std::string& server : context_.servers()) {
       options.server = server;
       bool text_received = false;
@@ -40,7 +40,7 @@
         PrintOutcome(*outcome);
         return kExitDone;
       }
-      last_error = outcome.error();
+      last_error = AfterEarlier(last_error, outcome.error());
       // The next host is tried if this one did not run the request, or if an
       // idempotency key prevents a second run, but not once text has arrived.
       const bool may_retry =
@@ -104,7 +104,7 @@
     std::string idempotency_key = context_.Text("--idempotency-key");
     idempotency_key =
         idempotency_key.empty() ? "cli-" + RandomHex(12) : idempotency_key;
-    Error last_error{ErrorCode::kIo, "no host answered", RunState::kUnknown};
+    Error last_error{ErrorCode::kIo, "no host answered", RunState::kNotRun};
     for (const std::string& server : context_.servers()) {
       const auto batch =
           StartBatch(server, context_.key(), *lines, context_.Text("--window"),
@@ -119,7 +119,7 @@
                   << "\n";
         return kExitDone;
       }
-      last_error = batch.error();
+      last_error = AfterEarlier(last_error, batch.error());
       if (last_error.code != ErrorCode::kIo &&
           last_error.run == RunState::kRan) {
         break;
--- a/src/client/cli_context.cc
+++ b/src/client/cli_context.cc
@@ -14,10 +14,10 @@
   if (error.code == ErrorCode::kVersionConflict) {
     return kExitConflict;
   }
-  if (error.code == ErrorCode::kIo) {
-    return kExitNotReached;
+  if (error.run == RunState::kUnknown) {
+    return kExitUnknown;
   }
-  return error.run == RunState::kUnknown ? kExitUnknown : kExitRefused;
+  return error.code == ErrorCode::kIo ? kExitNotReached : kExitRefused;
 }
 
 std::vector<std::string> SplitList(const std::string& text) {
@@ -40,6 +40,13 @@
   return ExitCodeOf(error);
 }
 
+Error AfterEarlier(const Error& earlier, Error error) {
+  if (earlier.run == RunState::kUnknown && error.run == RunState::kNotRun) {
+    error.run = RunState::kUnknown;
+  }
+  return error;
+}
+
 void Table::Print(std::ostream& out) const {
   std::vector<size_t> widths(rows_.front().size(), 0);
   for (const auto& row : rows_) {
@@ -104,16 +111,20 @@
 }
 
 Result<std::string> CliContext::Send(HttpRequest request) const {
-  Error last_error{ErrorCode::kIo, "no host answered", RunState::kUnknown};
+  Error last_error{ErrorCode::kIo, "no host answered", RunState::kNotRun};
   for (const std::string& server : servers_) {
     request.server = server;
     const Result<HttpResponse> answer = SendHttpRequest(request);
     if (!answer) {
-      last_error = answer.error();
+      last_error = AfterEarlier(last_error, answer.error());
+      if (request.method == "POST" && last_error.run != RunState::kNotRun) {
+        break;
+      }
       continue;
     }
     if (answer->status >= 300) {
-      return tl::unexpected<Error>(ErrorFromResponse(*answer));
+      return tl::unexpected<Error>(
+          AfterEarlier(last_error, ErrorFromResponse(*answer)));
     }
     return answer->body;
   }
--- a/src/client/cli_context.h
+++ b/src/client/cli_context.h
@@ -25,6 +25,11 @@
 // Prints an error to standard error and returns its exit code.
 int PrintError(const Error& error);
 
+// Returns the error of a request that `error` ended at one host after others
+// had failed with `earlier`. Once a host may have run it, the outcome stays
+// unknown.
+Error AfterEarlier(const Error& earlier, Error error);
+
 // Prints rows with aligned columns.
 class Table {
  public:
@@ -56,7 +61,8 @@
                           const std::string& body,
                           const std::string& bearer) const;
   // Tries the hosts in the order of --server until one answers. Returns the
-  // body of its answer, or the error that it returned.
+  // body of its answer, or the error that it returned. A POST that a host may
+  // have run is not sent to another one, where it could take effect again.
   Result<std::string> Send(HttpRequest request) const;
   // Like Send(), for the operators' API, with the operator token.
   Result<std::string> SendOperatorRequest(const std::string& method,
--- a/src/client/operator_commands.cc
+++ b/src/client/operator_commands.cc
@@ -378,7 +378,8 @@
         return kExitDone;
       }
       last_error = answer ? ErrorFromResponse(*answer) : answer.error();
-      if (answer && last_error.code != ErrorCode::kNotFound) {
+      const bool may_have_run = last_error.run != RunState::kNotRun;
+      if (may_have_run || (answer && last_error.code != ErrorCode::kNotFound)) {
         break;
       }
     }
--- a/test/broken/program_answers.cc
+++ b/test/broken/program_answers.cc
@@ -43,9 +43,9 @@
 // A server that gives each request the next of its answers, again from the
 // first after the last, and then closes the connection.
 class ScriptedServer : public RawServer {
-public:
+ public:
   explicit ScriptedServer(std::vector<std::string> answers)
-      : RawServer([this, answers = std::move(answers)](auto &socket, int) {
+      : RawServer([this, answers = std::move(answers)](auto& socket, int) {
           if (!ReadRequest(socket).empty()) {
             const int number = requests++;
             Write(socket,
@@ -58,7 +58,7 @@
 
 // One host with the cart-desk document and a key.
 class ProgramAnswersTest : public ::testing::Test {
-protected:
+ protected:
   void SetUp() override {
     folder_ =
         std::filesystem::temp_directory_path() / ("programs_" + RandomHex(8));
@@ -91,7 +91,7 @@
     std::filesystem::remove_all(folder_);
   }
 
-  static void WaitUntil(const std::function<bool()> &done) {
+  static void WaitUntil(const std::function<bool()>& done) {
     const TimePoint limit = Clock::now() + kWaitTimeout;
     while (!done()) {
       ASSERT_LT(Clock::now(), limit);
@@ -100,8 +100,8 @@
   }
 
   // Returns status 0 when no whole answer has come.
-  HttpResponse Send(const std::string &method, const std::string &path,
-                    const std::string &body, const std::string &bearer) {
+  HttpResponse Send(const std::string& method, const std::string& path,
+                    const std::string& body, const std::string& bearer) {
     HttpRequest request;
     request.method = method;
     request.server = fleet_->At("h1").http;
@@ -114,7 +114,7 @@
   }
 
   // The host knows the server when this returns.
-  void Announce(const RawServer &server, const std::string &id, bool plain) {
+  void Announce(const RawServer& server, const std::string& id, bool plain) {
     const std::string body =
         R"({"id":")" + id + R"(","address":")" + server.address().ToString() +
         R"(","service":"cart-desk","failure_domain":"d1","slots":4,)" +
@@ -129,11 +129,23 @@
     });
   }
 
+  // Runs sequoialb against two servers and returns its exit code.
+  int RunTool(const RawServer& first, const RawServer& second,
+              std::vector<std::string> arguments) {
+    const std::string name = "tool" + std::to_string(tools_++);
+    arguments.push_back("--server=" + first.address().ToString() + "," +
+                        second.address().ToString());
+    arguments.insert(arguments.end(), {"--token=t", "--key=k", "--timeout=5"});
+    fleet_->AddTool(name, "sequoialb", arguments);
+    fleet_->Start(name);
+    return fleet_->Wait(name);
+  }
+
   std::filesystem::path folder_;
   std::unique_ptr<scenario::Fleet> fleet_;
   std::string key_;
 
-private:
+ private:
   void AnnounceRepeatedly() {
     while (!stopping_) {
       std::map<std::string, std::string> announced;
@@ -141,7 +153,7 @@
         const std::lock_guard<std::mutex> lock(mutex_);
         announced = announced_;
       }
-      for (const auto &[id, body] : announced) {
+      for (const auto& [id, body] : announced) {
         Send("POST", "/v1/backends/announce", body, "");
       }
       std::this_thread::sleep_for(milliseconds(100));
@@ -152,10 +164,11 @@
   std::map<std::string, std::string> announced_;
   std::atomic<bool> stopping_{false};
   std::thread announcer_;
+  int tools_ = 0;
 };
 
 // The server got the request, so it may have run.
-void ExpectUnknown(const HttpResponse &answer, const std::string &broken) {
+void ExpectUnknown(const HttpResponse& answer, const std::string& broken) {
   EXPECT_EQ(answer.status, 502) << broken << "\n" << answer.body;
   EXPECT_NE(answer.body.find("\"run\":\"unknown\""), std::string::npos)
       << broken << "\n"
@@ -166,23 +179,23 @@
 // for some time.
 TEST_F(ProgramAnswersTest, ABrokenAnswerOfAPlainServiceReachesNoCaller) {
   std::vector<std::unique_ptr<ScriptedServer>> servers;
-  for (const std::string &broken : BrokenAnswers()) {
+  for (const std::string& broken : BrokenAnswers()) {
     servers.push_back(
         std::make_unique<ScriptedServer>(std::vector<std::string>{broken}));
     Announce(*servers.back(), "p" + std::to_string(servers.size()), true);
   }
-  const auto has_request = [](const auto &server) {
+  const auto has_request = [](const auto& server) {
     return server->requests > 0;
   };
   WaitUntil([&] {
     int before = 0;
-    for (const auto &server : servers) {
+    for (const auto& server : servers) {
       before += server->requests;
     }
     // A request that may be sent once.
     const HttpResponse answer = Send("POST", "/bookings/1", "b", key_);
     int sent = -before;
-    for (const auto &server : servers) {
+    for (const auto& server : servers) {
       sent += server->requests;
     }
     if (sent == 0) {
@@ -216,7 +229,7 @@
 // not mean that nothing ran.
 TEST_F(ProgramAnswersTest, ARefusalAfterACutStreamDoesNotSayNotRun) {
   std::atomic<int> requests{0};
-  RawServer server([&](Poco::Net::StreamSocket &socket, int) {
+  RawServer server([&](Poco::Net::StreamSocket& socket, int) {
     if (RawServer::ReadRequest(socket).empty()) {
       return;
     }
@@ -239,5 +252,68 @@
       << answer.body;
 }
 
-} // namespace
-} // namespace sequoialb
+constexpr int kExitDone = 0;
+constexpr int kExitNotReached = 3;
+constexpr int kExitUnknown = 4;
+constexpr char kWhole[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
+TEST_F(ProgramAnswersTest, TheCommandLineReportsBrokenAnswers) {
+  for (const std::string& broken : BrokenAnswers()) {
+    ScriptedServer server({broken});
+    ScriptedServer other({broken});
+    EXPECT_EQ(RunTool(server, other, {"batch", "results", "b"}), kExitUnknown)
+        << broken;
+    EXPECT_EQ(RunTool(server, other, {"ask", "q", "--model=m"}), kExitUnknown)
+        << broken;
+  }
+}
+
+// A read is repeated at the next host; what could take effect twice is not.
+TEST_F(ProgramAnswersTest, TheCommandLineRepeatsOnlyWhatMayRunTwice) {
+  ScriptedServer broken({"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"});
+  ScriptedServer whole({kWhole});
+  EXPECT_EQ(RunTool(broken, whole, {"batch", "results", "b"}), kExitDone);
+  EXPECT_EQ(whole.requests, 1);
+  EXPECT_EQ(RunTool(broken, whole, {"key", "give", "a"}), kExitUnknown);
+  EXPECT_EQ(RunTool(broken, whole, {"order", "e1", "{}"}), kExitUnknown);
+  EXPECT_EQ(whole.requests, 1);
+}
+
+// The outcome stays unknown when a later host refuses or cannot be reached.
+TEST_F(ProgramAnswersTest, TheCommandLineKeepsAnUnknownOutcome) {
+  ScriptedServer broken({"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"});
+  ScriptedServer refusing(
+      {"HTTP/1.1 503 Busy\r\nContent-Type: application/problem+json\r\n"
+       "Content-Length: 64\r\n\r\n"
+       R"({"code":"overloaded","detail":"no slot is free","run":"not_run"})"});
+  EXPECT_EQ(RunTool(broken, refusing,
+                    {"ask", "q", "--model=m", "--idempotency-key=i"}),
+            kExitUnknown);
+  EXPECT_EQ(refusing.requests, 1);
+  EXPECT_EQ(RunTool(broken, refusing, {"key", "withdraw", "k1"}), kExitUnknown);
+  EXPECT_EQ(refusing.requests, 2);
+}
+
+TEST_F(ProgramAnswersTest, TheCommandLineReportsHostsThatCannotBeReached) {
+  uint16_t port = 0;
+  {
+    Poco::Net::ServerSocket closed(Poco::Net::SocketAddress("127.0.0.1", 0));
+    port = closed.address().port();
+  }
+  fleet_->AddTool("tool", "sequoialb",
+                  {"status", "--server=127.0.0.1:" + std::to_string(port)});
+  fleet_->Start("tool");
+  EXPECT_EQ(fleet_->Wait("tool"), kExitNotReached);
+  // Nothing ran at that host, so the next one is tried.
+  ScriptedServer other({kWhole});
+  fleet_->AddTool("ask", "sequoialb",
+                  {"ask", "q", "--model=m", "--key=k",
+                   "--server=127.0.0.1:" + std::to_string(port) + "," +
+                       other.address().ToString()});
+  fleet_->Start("ask");
+  fleet_->Wait("ask");
+  EXPECT_EQ(other.requests, 1);
+}
+
+}  // namespace
+}  // namespace sequoialb
