Refuse three more kinds of malformed answers

What callers saw: an answer whose reason held a line feed, and so hid a header field from this parser and not from others, was passed on; so was what followed a 101, which no request asks for. A chunked answer with a zero in place of a chunk's size ended there as whole, and the bytes after it were dropped.

Cause: the parser checked no byte of the reason, skipped every status below 200 as interim, and read trailers without checking that they are fields.

Change: control characters in the status line, status 101 and trailers that are no fields are malformed, for all readers of src/http.

Evidence: HttpMessage.RefusesControlCharactersInTheStatusLine, RefusesASwitchOfProtocols and RefusesTrailersThatAreNoFields failed before, as did the first two kinds through the whole system in BrokenAnswersTest.AMalformedHeadBecomesARefusalThatPromisesNothing.

--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -7,9 +7,10 @@
 namespace sequoialb {
 namespace {
 
-// Trailer fields are read and dropped; more than this is malformed.
+// Trailer fields are checked and dropped; more than this is malformed.
 constexpr size_t kMaxTrailerBytes = 16'384;
 constexpr size_t kMaxChunkDigits = 15;
+constexpr uint64_t kSwitchingProtocols = 101;
 
 char Lower(char c) {
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c + ('a' - 'A')) : c;
@@ -67,6 +68,24 @@
   return line;
 }
 
+Result<HttpHeader> ParseField(std::string_view line) {
+  const size_t colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return Malformed("a header line has no colon");
+  }
+  const std::string_view name = line.substr(0, colon);
+  const std::string_view value = Trim(line.substr(colon + 1));
+  if (!IsToken(name)) {
+    return Malformed(
+        "a header name is empty or contains white space or another invalid "
+        "character");
+  }
+  if (!IsHeaderValue(value)) {
+    return Malformed("a header value contains a control character");
+  }
+  return HttpHeader{std::string(name), std::string(value)};
+}
+
 Status ParseFields(std::string_view rest, HttpHeaders& headers) {
   while (true) {
     const auto line = TakeLine(rest);
@@ -76,21 +95,11 @@
     if (line->empty()) {
       return {};
     }
-    const size_t colon = line->find(':');
-    if (colon == std::string_view::npos) {
-      return Malformed("a header line has no colon");
-    }
-    const std::string_view name = line->substr(0, colon);
-    const std::string_view value = Trim(line->substr(colon + 1));
-    if (!IsToken(name)) {
-      return Malformed(
-          "a header name is empty or contains white space or another invalid "
-          "character");
+    auto field = ParseField(*line);
+    if (!field) {
+      return tl::unexpected<Error>(field.error());
     }
-    if (!IsHeaderValue(value)) {
-      return Malformed("a header value contains a control character");
-    }
-    headers.Add(std::string(name), std::string(value));
+    headers.Add(std::move(field->name), std::move(field->value));
   }
 }
 
@@ -272,7 +281,8 @@
   constexpr size_t kStatusEnd = 12;
   const auto line = TakeLine(head);
   if (!line || line->size() < kStatusEnd || (*line)[kVersionSize] != ' ' ||
-      (line->size() > kStatusEnd && (*line)[kStatusEnd] != ' ')) {
+      (line->size() > kStatusEnd && (*line)[kStatusEnd] != ' ') ||
+      !IsHeaderValue(line->substr(kStatusEnd))) {
     return Malformed("the status line is malformed");
   }
   const auto minor = MinorVersion(line->substr(0, kVersionSize));
@@ -281,6 +291,9 @@
     return Malformed(
         "the HTTP version is not supported or the status is invalid");
   }
+  if (*status == kSwitchingProtocols) {
+    return Malformed("the server switches to a protocol that is not offered");
+  }
   ResponseHead response;
   response.status = static_cast<int>(*status);
   const Status fields = ParseFields(head, response.headers);
@@ -409,7 +422,7 @@
     trailer_bytes_ += line.size();
     if (line.empty()) {
       state_ = State::kDone;
-    } else if (trailer_bytes_ > kMaxTrailerBytes) {
+    } else if (trailer_bytes_ > kMaxTrailerBytes || !ParseField(line)) {
       state_ = State::kMalformed;
     }
     return;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -6,7 +6,8 @@
 // that two parsers could interpret differently is therefore rejected:
 // conflicting or repeated lengths, a length with a sign, white space before a
 // colon, folded lines, Content-Length together with chunked coding, bare line
-// feeds, and control characters.
+// feeds, control characters, trailers that are no fields, and a switch to
+// another protocol.
 #pragma once
 
 #include <cstdint>
--- a/test/correctness/http_message_test.cc
+++ b/test/correctness/http_message_test.cc
@@ -85,6 +85,26 @@
   EXPECT_FALSE(ParseResponseHead("nonsense\r\n\r\n").has_value());
 }
 
+// A line feed in the reason would hide the fields behind it.
+TEST(HttpMessage, RefusesControlCharactersInTheStatusLine) {
+  for (const char* line :
+       {"HTTP/1.1 200 OK\nContent-Length: 2", "HTTP/1.1 200 O\rK",
+        "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 OK\x7f"}) {
+    EXPECT_FALSE(ParseResponseHead(std::string(line) + "\r\n\r\n").has_value())
+        << line;
+  }
+  EXPECT_TRUE(ParseResponseHead("HTTP/1.1 200 \r\n\r\n").has_value());
+  EXPECT_TRUE(ParseResponseHead("HTTP/1.1 200 caf\xe9 ok\r\n\r\n").has_value());
+}
+
+// No request asks for another protocol, and what follows would be no HTTP.
+TEST(HttpMessage, RefusesASwitchOfProtocols) {
+  EXPECT_FALSE(ParseResponseHead("HTTP/1.1 101 Switching\r\n"
+                                 "Upgrade: x\r\n\r\n")
+                   .has_value());
+  EXPECT_TRUE(ParseResponseHead("HTTP/1.1 103 Early\r\n\r\n").has_value());
+}
+
 TEST(HttpMessage, DecodesChunksByteByByte) {
   const std::string wire =
       "4\r\nabcd\r\nA;x=y\r\n0123456789\r\n0\r\nT: v\r\n\r\n";
@@ -116,6 +136,18 @@
   }
 }
 
+// A zero in place of a size would otherwise end the body there, and the bytes
+// after it would be dropped as trailer fields.
+TEST(HttpMessage, RefusesTrailersThatAreNoFields) {
+  for (const char* trailer :
+       {"no field", "X Y: z", "X : z", "X\x01: z", ": z", "X: \x01"}) {
+    BodyDecoder decoder(BodyFraming::kChunked, 0);
+    std::string body;
+    decoder.Feed("1\r\na\r\n0\r\n" + std::string(trailer) + "\r\n\r\n", body);
+    EXPECT_EQ(decoder.state(), BodyDecoder::State::kMalformed) << trailer;
+  }
+}
+
 TEST(HttpMessage, OnlyABodyWithoutFramingEndsWithItsConnection) {
   BodyDecoder until_close(BodyFraming::kUntilClose, 0);
   EXPECT_TRUE(until_close.OnConnectionClosed());
