Read an early refusal after which the connection is closed and reset

What callers saw: none yet; the reader of the client library is new. A host that refused a long body, closed its side and then reset the connection was reported as an io error instead of its refusal.

Cause: POCO reports the failed write as IOException when the peer has closed its side before the reset, and as a NetException derived from it otherwise; only the second was caught.

Evidence: ClientAnswersTest.AnEarlyRefusalIsRead failed in its second case.

--- a/src/client/http_client.cc
+++ b/src/client/http_client.cc
@@ -2,7 +2,6 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/Context.h>
-#include <Poco/Net/NetException.h>
 #include <Poco/Net/SecureStreamSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
@@ -80,7 +79,7 @@
   try {
     SendAll(socket, RequestBytes(request));
     return true;
-  } catch (const Poco::Net::NetException&) {
+  } catch (const Poco::IOException&) {
     return false;
   }
 }
--- a/test/correctness/client_answers_test.cc
+++ b/test/correctness/client_answers_test.cc
@@ -89,19 +89,25 @@
   ExpectUnknown(Post(server.address(), std::string(64U << 20U, 'x')), "part");
 }
 
-// A host refuses a body that is too large before it has read it.
+// A host refuses a body that is too large before it has read it, and may close
+// its side of the connection before it resets it.
 TEST(ClientAnswersTest, AnEarlyRefusalIsRead) {
-  RawServer server([](Poco::Net::StreamSocket& socket, int) {
-    char head[64];
-    socket.receiveBytes(head, sizeof(head));
-    RawServer::Write(socket,
-                     "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno");
-    std::this_thread::sleep_for(milliseconds(30));
-    socket.setLinger(true, 0);
-  });
-  const auto answer = Post(server.address(), std::string(64U << 20U, 'x'));
-  ASSERT_TRUE(answer.has_value()) << answer.error().detail;
-  EXPECT_EQ(answer->status, 413);
+  for (const bool closes : {false, true}) {
+    RawServer server([closes](Poco::Net::StreamSocket& socket, int) {
+      char head[64];
+      socket.receiveBytes(head, sizeof(head));
+      RawServer::Write(socket,
+                       "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno");
+      if (closes) {
+        socket.shutdownSend();
+      }
+      std::this_thread::sleep_for(milliseconds(30));
+      socket.setLinger(true, 0);
+    });
+    const auto answer = Post(server.address(), std::string(64U << 20U, 'x'));
+    ASSERT_TRUE(answer.has_value()) << answer.error().detail;
+    EXPECT_EQ(answer->status, 413);
+  }
 }
 
 TEST(ClientAnswersTest, ARefusedConnectionHasRunNothing) {
