--- a/src/client/http_client.cc
+++ b/src/client/http_client.cc
@@ -5,8 +5,6 @@
 #include <Poco/Net/SecureStreamSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
-#include <algorithm>
-
 #include "http/response_reader.h"
 #include "settings/json_fields.h"
 
@@ -15,18 +13,12 @@
 
 constexpr char kHttps[] = "https://";
 constexpr char kHttp[] = "http://";
-constexpr milliseconds kMinTimeout{10};
 constexpr int kMaxCertificateChain = 9;
 
 bool StartsWith(const std::string& text, const std::string& prefix) {
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-Poco::Timespan TimeLeft(TimePoint deadline) {
-  const auto left = std::max<Duration>(kMinTimeout, deadline - Clock::now());
-  return {std::chrono::duration_cast<std::chrono::microseconds>(left).count()};
-}
-
 // Returns the address in a server's name, which may begin with its scheme.
 std::string AddressOf(const std::string& server) {
   for (const std::string scheme : {kHttps, kHttp}) {
@@ -89,8 +81,7 @@
     bool sent_whole, const std::function<void(std::string_view)>& on_bytes) {
   // A stream may go on after the deadline of the request, but not pause for
   // longer than the time that is left now.
-  const auto longest_pause =
-      std::max<Duration>(kMinTimeout, request.deadline - Clock::now());
+  const Duration longest_pause = request.deadline - Clock::now();
   ResponseReader reader(socket, request.deadline);
   const auto head = reader.ReadHead(request.method == "HEAD");
   if (!head) {
--- a/src/http/response_reader.cc
+++ b/src/http/response_reader.cc
@@ -17,6 +17,11 @@
 
 }  // namespace
 
+Poco::Timespan TimeLeft(TimePoint deadline) {
+  const auto left = std::max<Duration>(kMinTimeout, deadline - Clock::now());
+  return {std::chrono::duration_cast<std::chrono::microseconds>(left).count()};
+}
+
 void SendAll(Poco::Net::StreamSocket& socket, std::string_view bytes) {
   while (!bytes.empty()) {
     const int count =
@@ -109,13 +114,10 @@
            "the answer did not end before the deadline", RunState::kUnknown);
   // Each read is limited by the deadline, but a server may send a byte at a
   // time without end.
-  const TimePoint now = Clock::now();
-  if (now >= deadline_) {
+  if (Clock::now() >= deadline_) {
     return late;
   }
-  const auto timeout = std::max<Duration>(kMinTimeout, deadline_ - now);
-  socket_.setReceiveTimeout(Poco::Timespan(
-      std::chrono::duration_cast<std::chrono::microseconds>(timeout).count()));
+  socket_.setReceiveTimeout(TimeLeft(deadline_));
   std::array<char, kReadBytes> buffer{};
   try {
     const int count = socket_.receiveBytes(buffer.data(), buffer.size());
--- a/src/http/response_reader.h
+++ b/src/http/response_reader.h
@@ -15,12 +15,17 @@
 
 namespace sequoialb {
 
+// Returns the time until a deadline as the timeout of a socket operation, which
+// is at least 10 ms.
+Poco::Timespan TimeLeft(TimePoint deadline);
+
 // Sends all bytes. Throws Poco::Exception if the connection breaks.
 void SendAll(Poco::Net::StreamSocket& socket, std::string_view bytes);
 
 class ResponseReader {
  public:
-  // `deadline` limits each method. The socket must outlive the reader.
+  // The methods that read fail once the deadline has passed. The socket must
+  // outlive the reader.
   ResponseReader(Poco::Net::StreamSocket& socket, TimePoint deadline)
       : socket_(socket), deadline_(deadline) {}
 
--- a/src/orders/order_service.cc
+++ b/src/orders/order_service.cc
@@ -4,8 +4,6 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
-#include <algorithm>
-
 #include "http/response_reader.h"
 #include "ledger/command_results.h"
 #include "settings/json_fields.h"
@@ -16,7 +14,6 @@
 constexpr seconds kProposeTimeout{3};
 // An order is sent only if at least this much of the session lease is left.
 constexpr milliseconds kMinLeaseLeft{500};
-constexpr milliseconds kMinTimeout{10};
 // The longest response to an order that is read.
 constexpr size_t kMaxAnswerBytes = 1'048'576;
 
@@ -61,11 +58,6 @@
   static_cast<void>(host.Propose(command, Clock::now() + kProposeTimeout));
 }
 
-Poco::Timespan TimeLeft(TimePoint deadline) {
-  const auto left = std::max<Duration>(kMinTimeout, deadline - Clock::now());
-  return {std::chrono::duration_cast<std::chrono::microseconds>(left).count()};
-}
-
 std::string RequestBytes(const std::string& address, const std::string& body) {
   return "POST /v1/orders HTTP/1.1\r\nHost: " + address +
          "\r\nConnection: close\r\nContent-Type: application/json"
--- a/src/requests/backend_client.cc
+++ b/src/requests/backend_client.cc
@@ -17,7 +17,6 @@
 
 constexpr seconds kConnectTimeout{1};
 constexpr seconds kIdleTimeout{20};
-constexpr milliseconds kMinTimeout{10};
 constexpr size_t kMaxIdlePerServer = 64;
 constexpr size_t kMaxBodyBytes = 16U << 20U;
 // Bytes that are read after the end of a stream so that its connection can be
@@ -30,18 +29,10 @@
 constexpr int kFirstServerError = 500;
 constexpr int kFirstClientError = 400;
 
-Poco::Timespan ToTimespan(Duration d) {
-  return {std::chrono::duration_cast<std::chrono::microseconds>(d).count()};
-}
-
-Poco::Timespan TimeLeft(TimePoint deadline) {
-  return ToTimespan(std::max<Duration>(kMinTimeout, deadline - Clock::now()));
-}
-
 Poco::Net::StreamSocket Connect(const std::string& address) {
   Poco::Net::StreamSocket socket;
   socket.connect(Poco::Net::SocketAddress(address),
-                 ToTimespan(kConnectTimeout));
+                 TimeLeft(Clock::now() + kConnectTimeout));
   socket.setNoDelay(true);
   return socket;
 }
--- a/test/broken/program_answers.cc
+++ b/test/broken/program_answers.cc
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <mutex>
 
+#include "../fakes/malformed_heads.h"
 #include "../fakes/raw_sockets.h"
 #include "../scenarios/fleet.h"
 #include "base/hash.h"
@@ -25,12 +26,7 @@
 // Answers that are malformed or end early. Each would be an answer of its
 // status if it were taken as it is.
 std::vector<std::string> BrokenAnswers() {
-  const std::string whole = "Content-Length: 2\r\n\r\nok";
-  return {
-      "HTTP/1.1 000 Weird\r\n" + whole,
-      "HTTP/1.1 200 OK\r\nX Y: z\r\n" + whole,
-      "HTTP/1.1 200 OK\r\nX : z\r\n" + whole,
-      "HTTP/1.1 200 OK\r\nX\x01Y: z\r\n" + whole,
+  std::vector<std::string> answers = {
       "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok and more",
       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\npart",
@@ -38,6 +34,10 @@
       "HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
       "HTTP/1.1 200 OK\r\nX: y",
   };
+  for (const char* head : fakes::kMalformedHeads) {
+    answers.push_back(std::string(head) + "Content-Length: 2\r\n\r\nok");
+  }
+  return answers;
 }
 
 // A server that gives each request the next of its answers, again from the
--- a/test/correctness/backend_client_test.cc
+++ b/test/correctness/backend_client_test.cc
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <memory>
 
+#include "../fakes/malformed_heads.h"
 #include "../fakes/raw_sockets.h"
 
 namespace sequoialb {
@@ -94,9 +95,7 @@
 }
 
 TEST_F(BackendClientTest, AMalformedHeadIsBroken) {
-  for (const char* head :
-       {"HTTP/1.1 000 Weird\r\n", "HTTP/1.1 200 OK\r\nX Y: z\r\n",
-        "HTTP/1.1 200 OK\r\nX : z\r\n", "HTTP/1.1 200 OK\r\nX\x01Y: z\r\n"}) {
+  for (const char* head : fakes::kMalformedHeads) {
     RawServer server([&](Poco::Net::StreamSocket& socket, int) {
       RawServer::ReadRequest(socket);
       RawServer::Write(socket,
--- a/test/correctness/client_answers_test.cc
+++ b/test/correctness/client_answers_test.cc
@@ -3,6 +3,7 @@
 // about execution.
 #include <gtest/gtest.h>
 
+#include "../fakes/malformed_heads.h"
 #include "../fakes/raw_sockets.h"
 #include "client/http_client.h"
 
@@ -66,9 +67,7 @@
 }
 
 TEST(ClientAnswersTest, AMalformedHeadIsAnError) {
-  for (const char* head :
-       {"HTTP/1.1 000 Weird\r\n", "HTTP/1.1 200 OK\r\nX Y: z\r\n",
-        "HTTP/1.1 200 OK\r\nX : z\r\n", "HTTP/1.1 200 OK\r\nX\x01Y: z\r\n"}) {
+  for (const char* head : fakes::kMalformedHeads) {
     RawServer server([&](Poco::Net::StreamSocket& socket, int) {
       RawServer::ReadRequest(socket);
       RawServer::Write(socket,
