Announce the broken servers of a test as one start each

Each announcement of broken_answers_test had a later time of birth, so the fronts took the server for restarted whenever the test announced it. The test meant to repeat the announcement of one process, with a rising sequence number.

--- a/test/correctness/broken_answers_test.cc
+++ b/test/correctness/broken_answers_test.cc
@@ -18,7 +18,7 @@
 
 struct BrokenAnswer {
   std::string name;
-  // "@" stands for the id of the request.
+  // The server sends the id of the request in place of the first "@".
   std::string bytes;
   Ending ending = Ending::kClose;
 };
@@ -146,8 +146,8 @@
         R"({"Service":")" + service + R"(","Addr":")" +
         server.address().ToString() +
         R"(","Zone":"d0","Version":"v1","Slots":4,"State":"ready",)" +
-        R"("ColdLeftMs":0,"Seq":1,"born":)" + std::to_string(++announcements_) +
-        "}";
+        R"("ColdLeftMs":0,"born":1000,"Seq":)" +
+        std::to_string(++announcements_) + "}";
     Call(ControlAt(0), "PUT /sequoialb/instances/" + id, "", body);
   }
 
