--- a/review/stand_in_3/jobs.cc
+++ b/review/stand_in_3/jobs.cc
@@ -1,9 +1,30 @@
 #include "jobs.h"
 
 namespace case3 {
+namespace {
+
+std::string Service(const std::string& name, int slots) {
+  return "{\"Name\":\"" + name +
+         "\",\"HealthPath\":\"/health\",\"MaxConns\":230,"
+         "\"Protocol\":\"h1\",\"Tls\":false,\"Engine\":{\"Slots\":" +
+         std::to_string(slots) +
+         ",\"KvCapacity\":147261,\"Models\":[{\"Name\":\"m\"}]}}";
+}
+
+}  // namespace
 
 std::string Config(const ConfigOptions& options) {
   const std::string rate = std::to_string(options.rate);
+  const std::string other_route =
+      options.other_prefix.empty()
+          ? ""
+          : std::string(",{\"Name\":\"r-other\",\"Host\":\"") + kHost +
+                "\",\"PathPrefix\":\"" + options.other_prefix +
+                "\",\"Kind\":\"stream\",\"TimeoutMs\":5000,\"SloMs\":300,"
+                "\"Priority\":0,\"Service\":\"" +
+                kOtherService +
+                "\",\"Attempts\":1,\"Public\":false,\"Sticky\":true,"
+                "\"Resumable\":false,\"GapTargetMs\":400}";
   return "{\"Version\":" + std::to_string(options.version) +
          ",\"Routes\":[{\"Name\":\"r-bulk\",\"Host\":\"" + kHost +
          "\",\"PathPrefix\":\"" + kBatchPrefix +
@@ -20,11 +41,11 @@
          "\"Public\":false,\"Sticky\":true,\"Resumable\":" +
          (options.resumable ? "true" : "false") +
          ","
-         "\"GapTargetMs\":400}],\"Services\":[{\"Name\":\"cart-desk\","
-         "\"HealthPath\":\"/health\",\"MaxConns\":230,\"Protocol\":\"h1\","
-         "\"Tls\":false,\"Engine\":{\"Slots\":" +
-         std::to_string(options.slots) +
-         ",\"KvCapacity\":147261,\"Models\":[{\"Name\":\"m\"}]}}],"
+         "\"GapTargetMs\":400}" +
+         other_route + "],\"Services\":[" +
+         Service("cart-desk", options.slots) + "," +
+         Service(kOtherService, options.slots) +
+         "],"
          "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,"
          "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"
          "\"Tenants\":[{\"Name\":\"" +
--- a/review/stand_in_3/jobs.h
+++ b/review/stand_in_3/jobs.h
@@ -12,6 +12,7 @@
 inline constexpr const char* kHost = "nony24.example";
 inline constexpr const char* kBatchPrefix = "/pule252/";
 inline constexpr const char* kStreamPrefix = "/lohu930/";
+inline constexpr const char* kOtherService = "hull-check";
 inline constexpr const char* kTenant = "kaje80";
 inline constexpr const char* kKey = "i9n73hh2b9wu3fexd9dn";
 
@@ -23,6 +24,8 @@
   int slots = 8;
   // Whether streams may be resumed, in a second attempt.
   bool resumable = true;
+  // The prefix of one more stream route, to the service kOtherService.
+  std::string other_prefix;
 };
 
 // A configuration with a batch route, a stream route and one tenant.
