Review: items whose prompts take long to read are never done

Case 12: ten items of 80,000 prompt tokens, each of which fits into an engine, are accepted. An engine of the sheet's speed reads such a prompt in 1,050 ms; the front takes an item back that has had no event for 800 ms, and sends it again for ever.

--- a/review/stand_in_3/engine.cc
+++ b/review/stand_in_3/engine.cc
@@ -68,6 +68,11 @@
       .status;
 }
 
+std::vector<Engine::Span> Engine::Spans() {
+  const std::lock_guard lock(mutex_);
+  return spans_;
+}
+
 void Engine::Announce() {
   size_t next = 0;
   for (int sequence = 1; !stopping_ && !left_; ++sequence) {
@@ -132,10 +137,34 @@
     ++runs_[id];
     by_time_.emplace(Clock::now(), id);
   }
+  const Clock::time_point begin = Clock::now();
+  const bool complete = Work(fd, request);
+  --active_;
+  const std::lock_guard lock(mutex_);
+  spans_.push_back({id, begin, Clock::now(), complete});
+  return complete;
+}
+
+bool Engine::Work(int fd, const Message& request) {
+  const std::string id = request.Field("Request-Id");
   const std::string last = request.Field("Last-Event-Id");
   const int first = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
   record_.Line("engine " + options_.id + " runs " + id + " from event " +
                std::to_string(first));
+  if (options_.prompt_tokens_per_ms > 0) {
+    const double prompt = std::atof(request.Field("Token-Count").c_str());
+    const Clock::time_point read =
+        Clock::now() + milliseconds(static_cast<int64_t>(
+                           prompt / options_.prompt_tokens_per_ms));
+    while (Clock::now() < read) {
+      if (PeerLeft(fd) || stopping_) {
+        record_.Line("engine " + options_.id + " drops " + id +
+                     ", whose connection has closed");
+        return false;
+      }
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+  }
   bool open = WriteAll(
       fd, "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
               "\r\nResponse-Stamp: stamp." + options_.id + "." + id +
@@ -147,7 +176,6 @@
            WriteAll(fd, Chunk("id: " + std::to_string(i) +
                               "\ndata: " + EventText(options_, i) + "\n\n"));
   }
-  --active_;
   return open && !stopping_ && WriteAll(fd, "0\r\n\r\n");
 }
 
--- a/review/stand_in_3/engine.h
+++ b/review/stand_in_3/engine.h
@@ -24,6 +24,8 @@
   milliseconds pause{20};
   // Bytes of the data of an event, at least.
   size_t event_bytes = 0;
+  // Prompt tokens that are read in a millisecond; 0 means without delay.
+  double prompt_tokens_per_ms = 0;
   // The control machines in the order in which they are called, the next one
   // when one does not answer; all of them if empty.
   std::vector<std::string> beat_at;
@@ -42,12 +44,24 @@
 
   // How often requests with an id have begun to run.
   std::map<std::string, int> Runs();
+  // The work on one request.
+  struct Span {
+    std::string id;
+    Clock::time_point begin;
+    Clock::time_point end;
+    bool complete = false;
+  };
+  // What the engine has worked on and ended.
+  std::vector<Span> Spans();
+
   // The times at which requests have begun to run, with their ids.
   std::multimap<Clock::time_point, std::string> RunTimes();
 
  private:
   void Serve(int fd);
   bool Answer(int fd, const Message& request);
+  // Works on a request; returns whether its stream has been sent whole.
+  bool Work(int fd, const Message& request);
   void Announce();
 
   EngineOptions options_;
@@ -60,6 +74,7 @@
   std::mutex mutex_;
   std::map<std::string, int> runs_;
   std::multimap<Clock::time_point, std::string> by_time_;
+  std::vector<Span> spans_;
   Server server_;
   std::thread announcer_;
 };
--- a/review/stand_in_3/jobs.cc
+++ b/review/stand_in_3/jobs.cc
@@ -54,15 +54,17 @@
          "}]}";
 }
 
-std::string JobBody(const std::string& id, int items, uint64_t tokens_each) {
+std::string JobBody(const std::string& id, int items, uint64_t tokens_each,
+                    uint64_t prompt) {
   std::string list;
   for (int i = 0; i < items; ++i) {
     const std::string item = id + "-" + std::to_string(i);
     list += (i > 0 ? "," : "") + std::string("{\"Id\":\"") + item +
             "\",\"Path\":\"" + kBatchPrefix + "3/" + item +
-            "\",\"Headers\":{\"Model\":\"m\",\"Token-Count\":\"350,193\","
-            "\"Prompt-Prefix\":\"9c2e41:100," +
-            item + ":250\"},\"Body\":\"q83vEjRWeJA=\",\"Tokens\":" +
+            "\",\"Headers\":{\"Model\":\"m\",\"Token-Count\":\"" +
+            std::to_string(prompt) + ",193\",\"Prompt-Prefix\":\"9c2e41:100," +
+            item + ":" + std::to_string(prompt - 100) +
+            "\"},\"Body\":\"q83vEjRWeJA=\",\"Tokens\":" +
             std::to_string(tokens_each) + "}";
   }
   return "{\"Items\":[" + list + "]}";
--- a/review/stand_in_3/jobs.h
+++ b/review/stand_in_3/jobs.h
@@ -32,7 +32,10 @@
 std::string Config(const ConfigOptions& options);
 
 // The body of a batch job with items "ID-0", "ID-1" and so on.
-std::string JobBody(const std::string& id, int items, uint64_t tokens_each);
+// Each item has `prompt` tokens to read and at most 193 to make; `tokens_each`
+// is what it states for the limit.
+std::string JobBody(const std::string& id, int items, uint64_t tokens_each,
+                    uint64_t prompt = 350);
 
 Fields ClientFields();
 // Submits a batch job and returns the status, or 0.
