Let store hosts join the group that have waited for more than 6 s

What callers saw: nothing yet. A store group replaced its first lost member by its standby and no later one, so losses in series ended in a lost quorum though idle store hosts were there.

Cause: a host that is no member sends nothing to the group's leader. The leader took the moment at which it had first heard of the host for its last contact, and lets a host join only within 6 s of that.

Evidence: StoreServiceTest.AHostThatWaitedLongBecomesAMember fails without the change in StoreService.

--- a/src/fleet/control_service.cc
+++ b/src/fleet/control_service.cc
@@ -35,7 +35,7 @@
 // as live, and its backend servers are assigned to other fronts.
 constexpr milliseconds kFrontTimeout{1'000};
 // A store host with a heartbeat within this time counts as present when another
-// one is retired.
+// one is retired, and may join the store group.
 constexpr milliseconds kRecentContact{2'000};
 
 proto::ControlAnswer ErrorAnswer(const Error& error) {
@@ -174,6 +174,13 @@
   for (const std::string& host : state_.retiring_hosts()) {
     reply.add_retiring_hosts(host);
   }
+  if (hello.info().store()) {
+    for (const auto& [host, known] : directory_.hosts()) {
+      if (known.info.store() && now - known.last_contact < kRecentContact) {
+        reply.add_live_stores(host);
+      }
+    }
+  }
   if (!hello.info().front()) {
     return;
   }
--- a/src/fleet/fleet_member.cc
+++ b/src/fleet/fleet_member.cc
@@ -128,6 +128,10 @@
     confirmed_at_ = now;
     *last_confirmed_reply_.mutable_store_founders() = reply.store_founders();
     *last_confirmed_reply_.mutable_retiring_hosts() = reply.retiring_hosts();
+    if (!overtaken) {
+      last_confirmed_reply_.set_sent_at_us(reply.sent_at_us());
+      *last_confirmed_reply_.mutable_live_stores() = reply.live_stores();
+    }
     if (!reply.live_fronts_unchanged() && !overtaken) {
       changed =
           reply.live_fronts_hash() != last_confirmed_reply_.live_fronts_hash();
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -83,9 +83,9 @@
 
   const BackendDirectory& backends() const { return backends_; }
   const std::map<std::string, proto::HostInfo>& hosts() const { return hosts_; }
-  // Initial members of the store group, retiring hosts, live fronts,
-  // quarantines and evacuations of the last reply that a confirmed leader sent;
-  // all other fields are empty.
+  // When the heartbeat was sent that a confirmed leader answered last, with the
+  // initial members of the store group, retiring hosts, live fronts and stores,
+  // quarantines and evacuations of that reply; all other fields are empty.
   const proto::HelloReply& last_confirmed_reply() const {
     return last_confirmed_reply_;
   }
--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "fleet/boot_clock.h"
 #include "observe/log.h"
 
 namespace sequoialb {
@@ -106,6 +107,13 @@
     candidate.node = info.node();
     candidate.failure_domain = info.failure_domain();
   }
+  for (const std::string& host : confirmed.live_stores()) {
+    const auto known = candidates_.find(host);
+    if (known != candidates_.end()) {
+      known->second.last_contact = std::max(
+          known->second.last_contact, FromMicros(confirmed.sent_at_us()));
+    }
+  }
   // `hosts` contains only the other hosts.
   candidates_[self_.host()] = {node(), self_.failure_domain(), now};
 }
@@ -117,11 +125,6 @@
   if (!group_->is_member() && !knows_initial_members_) {
     return;
   }
-  const auto from = candidates_.find(
-      message.from_node().substr(0, message.from_node().find('@')));
-  if (from != candidates_.end() && from->second.node == message.from_node()) {
-    from->second.last_contact = now;
-  }
   group_->Receive(message, now);
 }
 
--- a/test/correctness/store_service_test.cc
+++ b/test/correctness/store_service_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "../fakes/memory_files.h"
+#include "fleet/boot_clock.h"
 #include "observe/log.h"
 
 namespace sequoialb {
@@ -94,5 +95,38 @@
   EXPECT_EQ(store_->status().term(), 4U);
 }
 
+// Guards against a store group that replaces its first lost member and no later
+// one: hosts that are no members send nothing to the group's leader, which took
+// those that it had known for seconds for lost.
+TEST_F(StoreServiceTest, AHostThatWaitedLongBecomesAMember) {
+  TimePoint now = kNow;
+  const auto pass = [&](milliseconds time, const proto::HelloReply& reply,
+                        const std::map<std::string, proto::HostInfo>& hosts) {
+    const TimePoint until = now + time;
+    while (now < until) {
+      now += milliseconds(50);
+      proto::HelloReply fresh = reply;
+      fresh.set_sent_at_us(ToMicros(now));
+      store_->OnFleetUpdate(hosts, fresh, now);
+      store_->Tick(now);
+      store_->Flush(now);
+    }
+  };
+  std::map<std::string, proto::HostInfo> hosts;
+  proto::HostInfo& waiting = hosts["h4"];
+  waiting.set_host("h4");
+  waiting.set_node("h4@1");
+  waiting.set_failure_domain("d4");
+  waiting.set_store(true);
+  proto::HelloReply reply = ConfirmedReply({"h1@other"});
+  reply.add_live_stores("h4");
+  pass(seconds(20), reply, hosts);
+  reply = ConfirmedReply({store_->node()});
+  reply.add_live_stores("h4");
+  pass(seconds(4), reply, hosts);
+  ASSERT_TRUE(store_->status().leads());
+  EXPECT_EQ(store_->status().membership().learners_size(), 1);
+}
+
 }  // namespace
 }  // namespace sequoialb
