Wait for servers to read long prompts

Online requests with long prompts were read by one server after the other. The servers counted as failed meanwhile, for everyone.

Cause: the limits on a server's silence, 0.8 s for items and half of the latency target for online requests, ignored the size of the prompt and the speed of the server, and an item was offered again without a memory of its stalled runs.

Change: the limits are extended by the time to read the prompt. For items that is the time for all unread prompts of this front at the server, and each stalled run doubles the limit; the store leader passes on the number of these runs. A server counts as failed only when none of its streams goes on.

--- a/src/gateway/backend_pool.cc
+++ b/src/gateway/backend_pool.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "gateway/stall_policy.h"
 #include "observe/log.h"
@@ -115,9 +116,7 @@
 bool BackendPool::IsEligible(const Load& load, const std::string& service,
                              TimePoint now) const {
   return load.usable && !load.leaving && load.backend.service == service &&
-         !load.backoff.IsActive(now) &&
-         !IsServerStalled(load.streaming, load.last_progress_at, load.mean_gap,
-                          now) &&
+         !load.backoff.IsActive(now) && !HasStalled(load, now) &&
          cold_.MaySend(load.backend.id, now);
 }
 
@@ -382,10 +381,44 @@
 
 bool BackendPool::IsStalled(const std::string& backend, TimePoint now) const {
   const auto found = loads_.find(backend);
-  return found != loads_.end() &&
-         IsServerStalled(found->second.streaming,
-                         found->second.last_progress_at, found->second.mean_gap,
-                         now);
+  return found != loads_.end() && HasStalled(found->second, now);
+}
+
+bool BackendPool::HasStalled(const Load& load, TimePoint now) const {
+  return IsServerStalled(
+      load.streaming, load.last_progress_at, load.mean_gap,
+      ExtraReadingTime(load.unread_tokens, SpeedOf(load, now)), now);
+}
+
+void BackendPool::AddUnread(const std::string& backend, uint64_t tokens) {
+  // The sum of sizes that callers state could overflow.
+  uint64_t& unread = loads_[backend].unread_tokens;
+  unread += std::min(tokens, std::numeric_limits<uint64_t>::max() - unread);
+}
+
+void BackendPool::RemoveUnread(const std::string& backend, uint64_t tokens) {
+  uint64_t& unread = loads_[backend].unread_tokens;
+  unread -= std::min(tokens, unread);
+}
+
+Duration BackendPool::ReadingTime(const std::string& backend,
+                                  uint64_t prompt_tokens, TimePoint now) const {
+  return ExtraReadingTime(prompt_tokens, Speed(backend, now));
+}
+
+Duration BackendPool::ReadingTimeOfAll(const std::string& backend,
+                                       uint64_t prompt_tokens,
+                                       TimePoint now) const {
+  const auto found = loads_.find(backend);
+  const uint64_t unread =
+      found == loads_.end() ? 0 : found->second.unread_tokens;
+  return ReadingTime(backend, std::max(prompt_tokens, unread), now);
+}
+
+bool BackendPool::IsAnswering(const std::string& backend, TimePoint now) const {
+  const auto found = loads_.find(backend);
+  return found != loads_.end() && found->second.streaming > 0 &&
+         !HasStalled(found->second, now);
 }
 
 void BackendPool::RecordServerLoad(const std::string& backend,
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -125,6 +125,20 @@
   // Records that a part of an answer has been received; `first` says whether it
   // was the first part of that answer.
   void RecordProgress(const std::string& backend, bool first, TimePoint now);
+  // Adds to the prompt tokens of this front's requests that the server has not
+  // begun to answer, or removes them again.
+  void AddUnread(const std::string& backend, uint64_t tokens);
+  void RemoveUnread(const std::string& backend, uint64_t tokens);
+  // Returns how much longer than usual the server may take to answer a request
+  // with this prompt.
+  Duration ReadingTime(const std::string& backend, uint64_t prompt_tokens,
+                       TimePoint now) const;
+  // Returns the same for a server that reads all unread prompts of this front
+  // first.
+  Duration ReadingTimeOfAll(const std::string& backend, uint64_t prompt_tokens,
+                            TimePoint now) const;
+  // Returns whether an answer that the server has begun goes on.
+  bool IsAnswering(const std::string& backend, TimePoint now) const;
   // Records the time between two events of a stream. `target` is the latency
   // target of its route, 0 if it has none.
   void RecordGap(const std::string& backend, Duration gap, Duration target,
@@ -209,6 +223,8 @@
     // until `own_slot_until`.
     uint32_t own_slots = 0;
     TimePoint own_slot_until;
+    // Prompt tokens of this front's requests whose answers have not begun.
+    uint64_t unread_tokens = 0;
     // When a part of any of those answers was last received.
     TimePoint last_progress_at;
     // Moving average of the time between received parts, over all those answers
@@ -273,6 +289,7 @@
   // Returns how many slots the server has for requests that start now: at most
   // one while it is cold, since the next one waits for the server's cold rate.
   double UsableSlots(const Load& load, TimePoint now) const;
+  bool HasStalled(const Load& load, TimePoint now) const;
   // Returns an estimate of the requests that other fronts have on the server.
   double RequestsOfOthers(const Load& load, TimePoint now) const;
   double BusySlots(const Load& load, TimePoint now) const;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -89,6 +89,8 @@
   TimePoint begun_at;
   // The current server has sent an event that the caller did not have.
   bool has_event = false;
+  // The prompt tokens that count as unread at the current server.
+  uint64_t unread_tokens = 0;
   // The end of the current answer is marked by its framing.
   bool end_marked = false;
   // An earlier server's answer ended before it was complete.
@@ -396,6 +398,8 @@
     LogTrial(request, "sent");
   }
   front_.pool.RecordSent(choice.backend, false, now);
+  request.unread_tokens = request.caller.prompt_tokens;
+  front_.pool.AddUnread(choice.backend, request.unread_tokens);
   CallOptions options;
   options.request = ForwardedBytes(request, choice.backend,
                                    RemainingMs(request.deadline, now));
@@ -431,6 +435,7 @@
 void Gateway::Release(Request& request) {
   request.call.reset();
   if (!request.backend.empty()) {
+    RecordPromptRead(request);
     front_.pool.RecordEnded(request.backend, false,
                             request.last_progress_at != TimePoint());
     front_.pool.RecordSlotFreed(request.backend, front_.loop.now());
@@ -529,6 +534,11 @@
   }
 }
 
+void Gateway::RecordPromptRead(Request& request) {
+  front_.pool.RemoveUnread(request.backend, request.unread_tokens);
+  request.unread_tokens = 0;
+}
+
 void Gateway::RecordProgress(Request& request) {
   const TimePoint now = front_.loop.now();
   front_.pool.RecordProgress(request.backend,
@@ -600,6 +610,7 @@
 
 void Gateway::OnData(Request& request, std::string_view data) {
   if (!request.is_event_stream) {
+    RecordPromptRead(request);
     RecordProgress(request);
     request.exchange->Send(data);
   } else {
@@ -672,6 +683,7 @@
     }
     request.was_paused = request.paused;
     request.has_event = true;
+    RecordPromptRead(request);
     RecordProgress(request);
   }
   request.exchange->Send(whole);
@@ -769,15 +781,19 @@
   if (request.call == nullptr || request.paused || !CanRetry(request)) {
     return false;
   }
+  const Duration reading = front_.pool.ReadingTime(
+      request.backend, request.caller.prompt_tokens, now);
   if (request.last_progress_at != TimePoint()) {
     return request.is_event_stream &&
-           now >= StreamStallsAt(*request.route, request.last_progress_at);
+           now >= StreamStallsAt(*request.route, request.last_progress_at,
+                                 request.has_event ? Duration(0) : reading);
   }
   const TimePoint stalls_at =
       front_.pool.IsStalled(request.backend, now)
           ? request.sent_at + kMinStallTime
           : FirstEventStallsAt(*request.route, request.sent_at,
-                               front_.pool.Speed(request.backend, now));
+                               front_.pool.Speed(request.backend, now),
+                               reading);
   if (now < stalls_at) {
     return false;
   }
@@ -798,10 +814,9 @@
   }
   for (Request* request : stalled) {
     const std::string backend = request->backend;
-    // A stalled stream shows that the server has failed; a request without a
-    // first event may just be queued there.
-    if (request->last_progress_at != TimePoint() ||
-        front_.pool.IsStalled(backend, now)) {
+    // The server has failed if all its streams have stalled. Otherwise this
+    // request may just be queued there, or was preempted.
+    if (front_.pool.IsStalled(backend, now)) {
       front_.pool.RecordFailure(backend, ServerFailure::kStalled, now);
     } else {
       front_.pool.RecordFull(backend, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -74,6 +74,8 @@
   std::string ForwardedBytes(const Request& request, const std::string& backend,
                              int64_t left_ms) const;
   void OnHead(Request& request, const ResponseHead& head);
+  // The current server has read the request's prompt, or need not any more.
+  void RecordPromptRead(Request& request);
   void RecordProgress(Request& request);
   // Records the time to the event that has just been received, as an
   // observation of the server's speed.
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -17,6 +17,15 @@
 // Items are not urgent, so a response counts as stalled only after many times
 // the usual pause between events.
 constexpr milliseconds kStallTimeout{800};
+// Each run of an item that stalled before doubles the time, since its server
+// may be slower than expected, up to kMaxStallTimeout.
+//
+// The budget: an item must be done within 18 s of the end of the traffic
+// (FinishS of DEPLOY.md), at servers of which one may have stopped. An item of
+// 80,000 prompt tokens takes 2.7 s to leave a stopped server, and 8.1 s to
+// leave two; the next one gets 10.8 s to begin an answer.
+constexpr uint32_t kMaxStallDoublings = 4;
+constexpr milliseconds kMaxStallTimeout{20'000};
 // A run whose output is longer than this is returned without it. The output of
 // one item must fit into the answer to a read of results.
 constexpr size_t kMaxOutputBytes = 900'000;
@@ -41,6 +50,11 @@
   std::optional<uint64_t> last_event;
   bool streaming = false;
   bool received_data = false;
+  uint64_t prompt_tokens = 0;
+  // The prompt tokens that count as unread at the server.
+  uint64_t unread_tokens = 0;
+  // The answer has made no progress for too long.
+  bool stalled = false;
   // The parts of the item's prompt that other requests may have too.
   std::vector<std::string> shared_parts;
   // The run is the trial of the quarantines that cover the item.
@@ -80,6 +94,10 @@
   run->accepted_at = front_.loop.now();
   run->due_at = run->accepted_at + milliseconds(offer.due_left_ms());
   run->output = offer.output();
+  // Items that earlier versions stored do not state their prompts.
+  run->prompt_tokens = offer.item().prompt_tokens() > 0
+                           ? offer.item().prompt_tokens()
+                           : offer.item().tokens();
   run->shared_parts = {offer.item().shared_parts().begin(),
                        offer.item().shared_parts().end()};
   if (offer.has_last_event()) {
@@ -165,6 +183,8 @@
     LogTrial(run, "sent");
   }
   front_.pool.RecordSent(run.backend, true, front_.loop.now());
+  run.unread_tokens = run.prompt_tokens;
+  front_.pool.AddUnread(run.backend, run.unread_tokens);
   CallOptions options;
   options.request = std::move(bytes);
   options.request_id_header = front_.protocol.request_id_header();
@@ -315,6 +335,7 @@
                             Duration(0), now);
     }
     run.last_progress_at = now;
+    RecordPromptRead(run);
     front_.pool.RecordProgress(run.backend, !run.received_data,
                                run.last_progress_at);
     front_.crashes.RecordAlive(run.backend, run.last_progress_at);
@@ -339,6 +360,11 @@
   }
 }
 
+void ItemRunner::RecordPromptRead(Run& run) {
+  front_.pool.RemoveUnread(run.backend, run.unread_tokens);
+  run.unread_tokens = 0;
+}
+
 // Returns an item whose server sends bytes without end, with the output from
 // before this run.
 void ItemRunner::RejectOutput(Run& run) {
@@ -372,9 +398,11 @@
   outcome.set_backend(run.backend);
   outcome.set_status(static_cast<uint32_t>(run.status));
   outcome.set_catalog_version(run.catalog_version);
+  outcome.set_stalled(run.stalled);
   (kind == proto::ItemOutcome::kComplete ? completed_ : stopped_).Add();
   run.call.reset();
   if (!run.backend.empty()) {
+    RecordPromptRead(run);
     front_.pool.RecordEnded(run.backend, true, run.received_data);
   }
   const auto found = runs_.find({run.offer.job(), run.offer.item().id()});
@@ -432,19 +460,42 @@
   }
 }
 
+Duration ItemRunner::StallTimeout(const Run& run) const {
+  const Duration first =
+      kStallTimeout + front_.pool.ReadingTimeOfAll(
+                          run.backend, run.prompt_tokens, front_.loop.now());
+  return std::min<Duration>(
+      kMaxStallTimeout,
+      first * (1U << std::min(run.offer.stalled_runs(), kMaxStallDoublings)));
+}
+
 void ItemRunner::CheckStalls() {
   const TimePoint now = front_.loop.now();
   std::vector<Run*> stalled;
   for (const auto& [key, run] : runs_) {
-    if (run->call != nullptr && now - run->last_progress_at > kStallTimeout) {
+    if (run->call != nullptr &&
+        now - run->last_progress_at > StallTimeout(*run)) {
       stalled.push_back(run.get());
     }
   }
   for (Run* run : stalled) {
-    LogInfo("item_stalled", {{"job", run->offer.job()},
-                             {"item", run->offer.item().id()},
-                             {"backend", run->backend}});
-    front_.pool.RecordFailure(run->backend, ServerFailure::kStalled, now);
+    // A server that goes on with other answers may have queued the item.
+    const bool answering = front_.pool.IsAnswering(run->backend, now);
+    LogInfo(
+        "item_stalled",
+        {{"job", run->offer.job()},
+         {"item", run->offer.item().id()},
+         {"backend", run->backend},
+         {"prompt_tokens", std::to_string(run->prompt_tokens)},
+         {"silent_ms", std::to_string(RemainingMs(now, run->last_progress_at))},
+         {"stalled_runs", std::to_string(run->offer.stalled_runs())},
+         {"answers_others", answering ? "yes" : "no"}});
+    if (answering) {
+      front_.pool.RecordFull(run->backend, now);
+    } else {
+      front_.pool.RecordFailure(run->backend, ServerFailure::kStalled, now);
+    }
+    run->stalled = true;
     End(*run, run->status_outcome.value_or(proto::ItemOutcome::kReturned));
   }
 }
--- a/src/jobs/item_runner.h
+++ b/src/jobs/item_runner.h
@@ -57,6 +57,10 @@
   void OnHead(Run& run, const ResponseHead& head);
   void OnData(Run& run, std::string_view data);
   void OnFailure(Run& run, CallFailure failure);
+  // The server has read the item's prompt, or need not any more.
+  void RecordPromptRead(Run& run);
+  // Returns how long the run's server may make no progress.
+  Duration StallTimeout(const Run& run) const;
   void RejectOutput(Run& run);
   void CountSurvivor(Run& run);
   static void LogTrial(const Run& run, const char* outcome);
--- a/src/jobs/item_scheduler.cc
+++ b/src/jobs/item_scheduler.cc
@@ -302,6 +302,9 @@
     offer.set_last_event(progress->second.last_event);
     offer.set_has_last_event(progress->second.has_last_event);
   }
+  if (progress != progress_.end()) {
+    offer.set_stalled_runs(progress->second.stalled_runs);
+  }
   offer.set_trial(!next.covering.empty());
   for (const QuarantineKey& quarantine : next.covering) {
     trial_offered_at_[quarantine] = now;
@@ -338,10 +341,20 @@
   const Duration run_time = now - running_.at(key).offered_at;
   running_.erase(key);
   not_before_[key] = now;
+  if (!outcome.has_last_event() && !outcome.stalled()) {
+    return;
+  }
+  Progress& progress = progress_[key];
+  const bool advanced =
+      outcome.has_last_event() &&
+      (!progress.has_last_event || outcome.last_event() > progress.last_event);
+  progress.stalled_runs =
+      (advanced ? 0 : progress.stalled_runs) + (outcome.stalled() ? 1 : 0);
+  progress.run_time += run_time;
   if (outcome.has_last_event()) {
-    Progress& progress = progress_[key];
-    progress = {outcome.output(), outcome.last_event(), true,
-                progress.run_time + run_time};
+    progress.output = outcome.output();
+    progress.last_event = outcome.last_event();
+    progress.has_last_event = true;
   }
 }
 
--- a/src/jobs/item_scheduler.h
+++ b/src/jobs/item_scheduler.h
@@ -106,6 +106,8 @@
     bool has_last_event = false;
     // Total run time of the item's attempts so far.
     Duration run_time{0};
+    // Runs since the last progress that ended because their server was silent.
+    uint32_t stalled_runs = 0;
   };
   // The newest catalog without a job's route, when a front first had it, and
   // when the job is offered again to fronts with this catalog.
--- a/test/correctness/gateway_decisions_test.cc
+++ b/test/correctness/gateway_decisions_test.cc
@@ -7,6 +7,7 @@
 
 #include "gateway/admission_policy.h"
 #include "gateway/backend_pool.h"
+#include "gateway/stall_policy.h"
 #include "gateway/waiting_queue.h"
 
 namespace sequoialb {
@@ -220,6 +221,31 @@
 
 // Events of this service are half a second apart, so a server that sends
 // nothing for that long must not count as stalled.
+// Guards against a sound server that is avoided while it reads a long prompt in
+// parts: its streams pause for one part at a time.
+TEST(BackendPool, AServerThatReadsALongPromptIsGivenMoreTime) {
+  BackendPool pool;
+  pool.SetUsable({Server("reading", true, true)});
+  pool.RecordSent("reading", false, At(0));
+  pool.RecordProgress("reading", true, At(0));
+  pool.RecordSent("reading", true, At(10));
+  pool.AddUnread("reading", 80'000);
+  EXPECT_FALSE(pool.IsStalled("reading", At(250)));
+  // A server that has stopped is found all the same.
+  EXPECT_TRUE(pool.IsStalled("reading", At(350)));
+  pool.RemoveUnread("reading", 80'000);
+  EXPECT_TRUE(pool.IsStalled("reading", At(250)));
+}
+
+TEST(StallPolicy, TimeToReadFollowsThePrompt) {
+  EXPECT_EQ(ExtraReadingTime(1'500), Duration(0));
+  EXPECT_GT(ExtraReadingTime(80'000), milliseconds(1'050));
+  EXPECT_GT(ExtraReadingTime(80'000, 0.5), ExtraReadingTime(80'000));
+  // A caller may state any size.
+  EXPECT_LE(ExtraReadingTime(std::numeric_limits<uint64_t>::max()),
+            milliseconds(10'000));
+}
+
 TEST(BackendPool, AServerWithInfrequentEventsIsNotStalled) {
   BackendPool pool;
   pool.SetUsable({Server("slow", true, true)});
--- a/test/correctness/gateway_test.cc
+++ b/test/correctness/gateway_test.cc
@@ -527,6 +527,49 @@
   }
 };
 
+// Guards against online requests with long prompts that are sent to one sound
+// server after the other, which all read the prompt.
+TEST_F(EndlessStreamTest, ALongPromptIsReadOnce) {
+  for (const bool early_head : {false, true}) {
+    RawServer first([&](auto& socket, int) {
+      RawServer::ReadRequest(socket);
+      const std::string head = kStreamHead;
+      RawServer::Write(socket, early_head ? head : "");
+      std::this_thread::sleep_for(milliseconds(1'000));
+      RawServer::Write(socket, (early_head ? "" : head) + "id: 2\ndata: c\n\n");
+    });
+    ScriptedServer other(kRestOfStream);
+    Open(RouteKind::kStream, {&first, &other});
+    ScheduleStallChecks();
+    const std::string answer = SendRequest("Token-Count: 60000,100\r\n");
+    EXPECT_EQ(other.requests, 0);
+    EXPECT_NE(answer.find("id: 2\ndata: c\n\n"), std::string::npos);
+    TearDown();
+  }
+}
+
+// A server that has stopped is found as soon as before for a usual prompt, and
+// before the caller gives up for a long one.
+TEST_F(EndlessStreamTest, AStoppedServerIsLeftInTime) {
+  for (const auto& [tokens, within] :
+       {std::pair("350", milliseconds(900)),
+        std::pair("60000", milliseconds(2'600))}) {
+    RawServer stopped([](auto& socket, int) {
+      RawServer::ReadRequest(socket);
+      std::this_thread::sleep_for(milliseconds(3'500));
+    });
+    ScriptedServer other(kRestOfStream);
+    Open(RouteKind::kStream, {&stopped, &other});
+    ScheduleStallChecks();
+    const TimePoint begin = Clock::now();
+    const std::string answer =
+        SendRequest("Token-Count: " + std::string(tokens) + ",100\r\n");
+    EXPECT_LT(Clock::now() - begin, within);
+    EXPECT_EQ(other.requests, 1);
+    TearDown();
+  }
+}
+
 TEST_F(EndlessStreamTest, AnEventWithoutEndAfterTheFirst) {
   ExpectResumed("id: 0\ndata: a\n\n", std::string(4'096, 'x'));
 }
--- a/test/correctness/item_runner_test.cc
+++ b/test/correctness/item_runner_test.cc
@@ -239,6 +239,54 @@
   }
 }
 
+// Reads the prompt for a while before the first event.
+void AnswerAfter(milliseconds time, Poco::Net::StreamSocket& socket) {
+  RawServer::ReadRequest(socket);
+  std::this_thread::sleep_for(time);
+  RawServer::Write(socket, std::string(kStreamHead) + "id: 5\ndata: five\n\n");
+}
+
+// Guards against items with long prompts that are taken back and sent again for
+// ever, because their servers send nothing while they read.
+TEST_F(ItemRunnerTest, AnItemWithALongPromptIsWaitedFor) {
+  RawServer server(
+      [](auto& socket, int) { AnswerAfter(milliseconds(1'500), socket); });
+  Open(server.address());
+  offer_.mutable_item()->set_prompt_tokens(80'000);
+  EXPECT_EQ(RunItem().kind(), proto::ItemOutcome::kComplete);
+}
+
+// Guards against the same with jobs that an earlier version has stored.
+TEST_F(ItemRunnerTest, AnItemWithoutAStatedPromptIsWaitedForByItsTokens) {
+  RawServer server(
+      [](auto& socket, int) { AnswerAfter(milliseconds(1'500), socket); });
+  Open(server.address());
+  offer_.mutable_item()->set_tokens(80'193);
+  EXPECT_EQ(RunItem().kind(), proto::ItemOutcome::kComplete);
+}
+
+// Guards against the same at servers that are slower than expected.
+TEST_F(ItemRunnerTest, AnItemThatStalledBeforeIsWaitedForLonger) {
+  RawServer server(
+      [](auto& socket, int) { AnswerAfter(milliseconds(1'300), socket); });
+  Open(server.address());
+  offer_.set_stalled_runs(1);
+  EXPECT_EQ(RunItem().kind(), proto::ItemOutcome::kComplete);
+}
+
+// A server that has stopped is found as soon as before.
+TEST_F(ItemRunnerTest, AnItemAtAStoppedServerIsReturnedAsStalled) {
+  RawServer server(
+      [](auto& socket, int) { AnswerAfter(milliseconds(2'000), socket); });
+  Open(server.address());
+  offer_.mutable_item()->set_prompt_tokens(350);
+  const TimePoint begin = Clock::now();
+  const proto::ItemOutcome outcome = RunItem();
+  EXPECT_LT(Clock::now() - begin, milliseconds(1'500));
+  EXPECT_TRUE(outcome.stalled());
+  ExpectReturnedUnchanged(outcome);
+}
+
 TEST_F(ItemRunnerTest, AResumedItemCompletes) {
   RawServer server([](Poco::Net::StreamSocket& socket, int) {
     const std::string request = RawServer::ReadRequest(socket);
--- a/test/correctness/jobs_test.cc
+++ b/test/correctness/jobs_test.cc
@@ -326,6 +326,39 @@
   EXPECT_GT(second.offers(0).attempt(), first.offers(0).attempt());
 }
 
+// Guards against an item that each front gives up after the same time: the next
+// one must wait longer, until the item makes progress.
+TEST_F(ItemSchedulerTest, OffersSayHowOftenAnItemHasStalled) {
+  Accept(Job("j", 1));
+  proto::ItemOutcome outcome;
+  const auto stall = [&](int at_ms, std::optional<uint64_t> last_event) {
+    const auto report = Report("f1", At(at_ms), 1);
+    ASSERT_EQ(report.offers_size(), 1);
+    *outcome.mutable_name() = NameOf(report.offers(0));
+    outcome.set_stalled(true);
+    outcome.set_has_last_event(last_event.has_value());
+    outcome.set_last_event(last_event.value_or(0));
+    scheduler_.OnReturned("f1", outcome, At(at_ms + 50));
+  };
+  const auto stalled_runs = [&](int at_ms) {
+    const auto report = Report("f2", At(at_ms), 1);
+    EXPECT_EQ(report.offers_size(), 1);
+    const auto offer = report.offers(0);
+    outcome.Clear();
+    *outcome.mutable_name() = NameOf(offer);
+    outcome.set_has_last_event(offer.has_last_event());
+    outcome.set_last_event(offer.last_event());
+    scheduler_.OnReturned("f2", outcome, At(at_ms + 50));
+    return offer.stalled_runs();
+  };
+  EXPECT_EQ(stalled_runs(800), 0U);
+  stall(900, std::nullopt);
+  stall(1'000, std::nullopt);
+  EXPECT_EQ(stalled_runs(1'100), 2U);
+  stall(1'200, 7);
+  EXPECT_EQ(stalled_runs(1'300), 1U);
+}
+
 // An item that fails on every run is not offered after its last attempt.
 TEST_F(ItemSchedulerTest, AnItemThatAlwaysFailsEndsAfterItsAttempts) {
   Accept(Job("j", 1));
