Run batch items by the route that accepted their job

An item whose path lay under no route was recorded as dead.

Cause: the route of an item was looked up by the item's path, whatever the kind of the route found. A job kept only the host of the route that accepted it.

Change: a job keeps the prefix and the name of its route, and its items run by the route with that prefix, or by the batch route of that name if the prefix has changed.

--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -91,6 +91,11 @@
   }
 }
 
+std::vector<const Route*> CatalogIndex::RoutesOf(std::string_view host) const {
+  const auto found = by_host_.find(std::string(host));
+  return found == by_host_.end() ? std::vector<const Route*>() : found->second;
+}
+
 const Route* CatalogIndex::FindRoute(std::string_view host,
                                      std::string_view path) const {
   const auto found = by_host_.find(std::string(host));
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -119,6 +119,8 @@
   // Returns the host's route with the longest path prefix that `path` starts
   // with, or nullptr.
   const Route* FindRoute(std::string_view host, std::string_view path) const;
+  // Returns the routes of a host, those with longer path prefixes first.
+  std::vector<const Route*> RoutesOf(std::string_view host) const;
   const Account* FindAccount(const std::string& key) const;
   const Account* AccountNamed(const std::string& name) const;
   const Catalog& catalog() const { return catalog_; }
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "jobs/item_stop_policy.h"
+#include "jobs/job_route.h"
 #include "observe/log.h"
 
 namespace sequoialb {
@@ -123,11 +124,16 @@
     return false;
   }
   const Route* route =
-      catalog.FindRoute(run.offer.route_host(), run.offer.item().path());
+      FindJobRoute(catalog,
+                   {run.offer.route_host(), run.offer.route_prefix(),
+                    run.offer.route_name()},
+                   run.offer.item().path());
   if (route == nullptr) {
     LogInfo("item_without_route",
             {{"job", run.offer.job()},
              {"item", run.offer.item().id()},
+             {"route", run.offer.route_name()},
+             {"prefix", run.offer.route_prefix()},
              {"catalog", std::to_string(catalog.version())},
              {"accepted_by", std::to_string(run.offer.catalog_version())}});
     run.catalog_version = catalog.version();
--- a/src/jobs/item_scheduler.cc
+++ b/src/jobs/item_scheduler.cc
@@ -291,6 +291,8 @@
   offer.set_job(key.first);
   offer.set_account(next.job->job.account());
   offer.set_route_host(next.job->job.route_host());
+  offer.set_route_prefix(next.job->job.route_prefix());
+  offer.set_route_name(next.job->job.route_name());
   *offer.mutable_item() = *next.item->item;
   offer.set_due_left_ms(next.due_unix_ms - UnixMs());
   offer.set_attempt(next_attempt_++);
--- a/src/jobs/job_handler.cc
+++ b/src/jobs/job_handler.cc
@@ -26,6 +26,8 @@
   }
   record->set_account(account.name);
   record->set_route_host(route.host);
+  record->set_route_prefix(route.path_prefix);
+  record->set_route_name(route.name);
   record->set_catalog_version(front_.view.catalog->version());
   record->set_attempts(route.attempts);
   record->set_due_ms(route.due.count());
--- a/test/correctness/item_runner_test.cc
+++ b/test/correctness/item_runner_test.cc
@@ -42,6 +42,14 @@
       route.timeout = milliseconds(9'000);
       catalog.routes = {route};
       catalog.services = {{"s", "/health", 10, 4}};
+      if (!other_prefix_.empty()) {
+        route.name = "other";
+        route.path_prefix = other_prefix_;
+        route.kind = RouteKind::kStream;
+        route.targets = {{"t", 1}};
+        catalog.routes.push_back(route);
+        catalog.services.push_back({"t", "/health", 10, 4});
+      }
       front_->view.catalog = std::make_shared<CatalogIndex>(catalog);
       front_->view.authority.lease_until = BootNow() + seconds(60);
       front_->pool.SetUsable({{"e1", "s", server, true, true, 8, false}});
@@ -90,6 +98,8 @@
 
   // The fields of the offer that differ from the usual one.
   proto::ItemOffer offer_;
+  // The prefix of a stream route to another service, if there is one.
+  std::string other_prefix_;
 
   static void ExpectReturnedUnchanged(const proto::ItemOutcome& outcome) {
     EXPECT_EQ(outcome.kind(), proto::ItemOutcome::kReturned);
@@ -126,6 +136,44 @@
   ExpectReturnedUnchanged(RunItem());
 }
 
+// Guards against items that a new route with a longer prefix takes to its
+// service.
+TEST_F(ItemRunnerTest, AnItemRunsAtTheServiceOfItsJobsRoute) {
+  RawServer server([](auto& socket, int) {
+    RawServer::ReadRequest(socket);
+    RawServer::Write(socket,
+                     std::string(kStreamHead) + "id: 5\ndata: five\n\n");
+  });
+  other_prefix_ = "/a/3/";
+  Open(server.address());
+  offer_.set_route_prefix("/a/");
+  offer_.mutable_item()->set_path("/a/3/x");
+  EXPECT_EQ(RunItem().kind(), proto::ItemOutcome::kComplete);
+}
+
+// Guards against items that run by a route that has not accepted their job.
+TEST_F(ItemRunnerTest, AnItemOfAnEndedRouteDoesNotRunByAnother) {
+  Open({"127.0.0.1", 1});
+  offer_.set_route_prefix("/ended/");
+  const proto::ItemOutcome outcome = RunItem();
+  EXPECT_EQ(outcome.kind(), proto::ItemOutcome::kRouteMissing);
+}
+
+// Guards against items that are recorded as dead because no route has their
+// path.
+TEST_F(ItemRunnerTest, AnItemMayHaveAnyPath) {
+  RawServer server([](auto& socket, int) {
+    EXPECT_NE(RawServer::ReadRequest(socket).find("POST /else/x "),
+              std::string::npos);
+    RawServer::Write(socket,
+                     std::string(kStreamHead) + "id: 5\ndata: five\n\n");
+  });
+  Open(server.address());
+  offer_.set_route_prefix("/a/");
+  offer_.mutable_item()->set_path("/else/x");
+  EXPECT_EQ(RunItem().kind(), proto::ItemOutcome::kComplete);
+}
+
 // Whether the route has ended is the store leader's decision.
 TEST_F(ItemRunnerTest, AnItemWhoseRouteIsMissingIsReportedWithTheCatalog) {
   Open({"127.0.0.1", 1});
--- a/test/correctness/jobs_test.cc
+++ b/test/correctness/jobs_test.cc
@@ -5,6 +5,7 @@
 #include "../fakes/state_copy.h"
 #include "jobs/item_scheduler.h"
 #include "jobs/job_clock.h"
+#include "jobs/job_route.h"
 #include "jobs/job_table.h"
 #include "jobs/job_waits.h"
 
@@ -80,6 +81,59 @@
   EXPECT_TRUE(table.Apply(Submit(Job("a", 6))).has_value());
 }
 
+// Guards against items that a new route takes to its service.
+class JobRouteTest : public ::testing::Test {
+ protected:
+  void Add(const std::string& name, const std::string& prefix,
+           RouteKind kind = RouteKind::kBatch) {
+    Route& route = catalog_.routes.emplace_back();
+    route.name = name;
+    route.host = "h";
+    route.path_prefix = prefix;
+    route.kind = kind;
+  }
+  // Returns the name and prefix of the job's route, or "none".
+  std::string Find(const std::string& name, const std::string& prefix,
+                   const std::string& item_path = "/a/3/x") {
+    const CatalogIndex index(catalog_);
+    const Route* route = FindJobRoute(index, {"h", prefix, name}, item_path);
+    return route == nullptr ? "none" : route->name + " " + route->path_prefix;
+  }
+
+  Catalog catalog_;
+};
+
+TEST_F(JobRouteTest, IsTheOneThatAcceptedTheJob) {
+  Add("batch", "/a/");
+  Add("stream", "/a/3/", RouteKind::kStream);
+  Add("other", "/a/3/x/");
+  EXPECT_EQ(Find("batch", "/a/"), "batch /a/");
+  EXPECT_EQ(Find("batch", "/a/", "/elsewhere"), "batch /a/");
+}
+
+TEST_F(JobRouteTest, KeepsItsIdentityWhenItIsChanged) {
+  Add("renamed", "/a/");
+  EXPECT_EQ(Find("batch", "/a/"), "renamed /a/");
+  catalog_ = Catalog();
+  Add("batch", "/b/");
+  Add("stream", "/a/3/", RouteKind::kStream);
+  EXPECT_EQ(Find("batch", "/a/"), "batch /b/");
+}
+
+TEST_F(JobRouteTest, EndsThoughAnotherHasThePathsOfItsItems) {
+  Add("other", "/a/3/");
+  Add("batch", "/c/", RouteKind::kStream);
+  EXPECT_EQ(Find("batch", "/a/"), "none");
+}
+
+TEST_F(JobRouteTest, OfAnEarlierVersionIsABatchRoute) {
+  Add("stream", "/a/3/", RouteKind::kStream);
+  EXPECT_EQ(Find("", ""), "none");
+  Add("batch", "/a/");
+  EXPECT_EQ(Find("", ""), "batch /a/");
+  EXPECT_EQ(Find("", "", "/elsewhere"), "none");
+}
+
 TEST(JobTable, AResultKeepsItsPositionAndContent) {
   JobTable table;
   ASSERT_TRUE(table.Apply(Submit(Job("j", 3))).has_value());
