Count waiting tokens for each batch route

What callers saw: where a host had two batch routes, a job was refused with 429 for what waited on the other route.

Cause: the waiting tokens of an account were added up for all routes of a host, as jobs did not keep their route.

Change: jobs count on their own route. Those that an earlier version has stored count on every route of their host, as before, so that a log is replayed with the same results.

Evidence: JobTable.EachRouteHasItsOwnCap failed before.

--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -26,12 +26,17 @@
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
-uint64_t JobTable::WaitingTokens(const std::string& account,
-                                 const std::string& route_host) const {
+uint64_t JobTable::WaitingTokens(const proto::JobRecord& record) const {
+  const auto on_one_route = [&record](const proto::JobRecord& other) {
+    return other.route_host() == record.route_host() &&
+           (other.route_prefix() == record.route_prefix() ||
+            other.route_name() == record.route_name() ||
+            other.route_prefix().empty() || record.route_prefix().empty());
+  };
   uint64_t tokens = 0;
   for (const auto& [id, job] : jobs_) {
-    if (!job.open() || job.job.account() != account ||
-        job.job.route_host() != route_host) {
+    if (!job.open() || job.job.account() != record.account() ||
+        !on_one_route(job.job)) {
       continue;
     }
     for (const JobItemState& item : job.items) {
@@ -76,8 +81,7 @@
     tokens += item.tokens();
   }
   if (record.token_cap() > 0 &&
-      WaitingTokens(record.account(), record.route_host()) + tokens >
-          record.token_cap()) {
+      WaitingTokens(record) + tokens > record.token_cap()) {
     return Fail(ErrorCode::kRateLimited,
                 "the job would exceed the account's limit on waiting tokens");
   }
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -74,9 +74,9 @@
   // The last committed value of the group's clock.
   int64_t clock_ms() const { return clock_ms_; }
 
-  // Returns the tokens of an account's unfinished items on a route.
-  uint64_t WaitingTokens(const std::string& account,
-                         const std::string& route_host) const;
+  // Returns the tokens of an account's unfinished items on the route of
+  // `record`. Jobs of earlier versions count on all routes of their host.
+  uint64_t WaitingTokens(const proto::JobRecord& record) const;
 
   // Returns at most `most` closed jobs whose results no longer need to be kept.
   std::vector<std::string> ClosedJobsToDrop(int64_t clock_ms,
--- a/test/correctness/jobs_test.cc
+++ b/test/correctness/jobs_test.cc
@@ -81,6 +81,26 @@
   EXPECT_TRUE(table.Apply(Submit(Job("a", 6))).has_value());
 }
 
+// Guards against jobs that are refused for what waits on another route of their
+// host.
+TEST(JobTable, EachRouteHasItsOwnCap) {
+  JobTable table;
+  const auto on_route = [](const std::string& id, const std::string& prefix) {
+    proto::JobRecord job = Job(id, 10);
+    job.set_route_prefix(prefix);
+    job.set_route_name(prefix);
+    return Submit(job);
+  };
+  EXPECT_TRUE(table.Apply(on_route("j1", "/a/")).has_value());
+  EXPECT_TRUE(table.Apply(on_route("j2", "/b/")).has_value());
+  EXPECT_FALSE(table.Apply(on_route("j3", "/a/")).has_value());
+  // A job of an earlier version counts on every route, and every job for it.
+  EXPECT_FALSE(table.Apply(Submit(Job("j4", 1))).has_value());
+  JobTable earlier;
+  EXPECT_TRUE(earlier.Apply(Submit(Job("j1", 10))).has_value());
+  EXPECT_FALSE(earlier.Apply(on_route("j2", "/a/")).has_value());
+}
+
 // Guards against items that a new route takes to its service.
 class JobRouteTest : public ::testing::Test {
  protected:
