Let control hosts ask each other for the records that they have missed

Cause: a change of a server is sent to the other control hosts once. One that was frozen missed the server's later start; a deregistration names no start, so there it ended the earlier one, which the fronts ignore.

Ruled out: the order of records at the fronts, which is right; a lost deregistration.

Change: control hosts ask for changed records with their heartbeats to each other, as fronts do, and merge what is newer than their own. Unchanged records are not sent on, so nothing travels in circles.

--- a/src/fleet/backend_registry.cc
+++ b/src/fleet/backend_registry.cc
@@ -59,6 +59,27 @@
   return changed;
 }
 
+bool BackendRegistry::Merge(const proto::BackendRecord& record, TimePoint now) {
+  const TimePoint last_contact = now - milliseconds(record.heard_ms_ago());
+  if (now - last_contact > kExpireAfter) {
+    return false;
+  }
+  const auto found = entries_.find(record.id());
+  const bool known = found != entries_.end();
+  if (known && !Supersedes(record, found->second.record)) {
+    return false;
+  }
+  const bool changed = !known || !SameButSequence(found->second.record, record);
+  Entry& entry = entries_[record.id()];
+  entry.record = record;
+  entry.record.clear_heard_ms_ago();
+  entry.last_contact = std::max(entry.last_contact, last_contact);
+  // An unchanged record is not sent on: each host gets it from the control host
+  // that has received it.
+  entry.change = changed ? ++change_ : entry.change;
+  return changed;
+}
+
 const proto::BackendRecord& BackendRegistry::Deregister(const std::string& id,
                                                         int64_t unix_ms,
                                                         TimePoint now) {
--- a/src/fleet/backend_registry.h
+++ b/src/fleet/backend_registry.h
@@ -18,7 +18,11 @@
 
 namespace sequoialb {
 
-// The control host's side: records announcements and reports changes.
+// The control host's side: records announcements and reports changes. A server
+// may send each of its calls to another control host, so each must know what
+// the others have received: a deregistration names no start, and ends the one
+// that its receiver knows. Changes are passed on at once, and control hosts
+// keep asking each other for what they have missed.
 class BackendRegistry {
  public:
   explicit BackendRegistry(uint64_t incarnation) : incarnation_(incarnation) {}
@@ -27,6 +31,11 @@
   // the last contact with the server.
   bool Announce(const proto::BackendRecord& record, TimePoint now);
 
+  // Takes over a record of another control host, which may have received what
+  // this one has missed. Returns true when that changes more than the time of
+  // the last contact with the server.
+  bool Merge(const proto::BackendRecord& record, TimePoint now);
+
   // Marks a server as deregistered. When only other control hosts have received
   // its announcements, `unix_ms` becomes the record's start time, which orders
   // the deregistration after them.
--- a/src/fleet/control_service.cc
+++ b/src/fleet/control_service.cc
@@ -440,8 +440,23 @@
   registry_.Announce(record, now);
 }
 
+void ControlService::OnReply(const std::string& from,
+                             const proto::HelloReply& reply, TimePoint now) {
+  for (const proto::BackendRecord& record : reply.backends()) {
+    if (registry_.Merge(record, now)) {
+      LogInfo("backend_record_merged",
+              {{"backend", record.id()},
+               {"started_unix_ms", std::to_string(record.started_unix_ms())},
+               {"leaving", record.leaving() ? "yes" : "no"},
+               {"gone", record.gone() ? "yes" : "no"},
+               {"told_by", from}});
+    }
+  }
+}
+
 // Sends a change to the other control hosts, because this host may be lost
-// right after it has acknowledged the change.
+// right after it has acknowledged the change. Hosts that miss the message learn
+// of the change with the next reply to their heartbeats.
 void ControlService::ForwardBackend(const proto::BackendRecord& record) {
   proto::FleetMessage message;
   *message.mutable_backend() = record;
--- a/src/fleet/control_service.h
+++ b/src/fleet/control_service.h
@@ -60,6 +60,10 @@
                       const proto::TokenRequest& request, TimePoint now);
   // Merges a backend server's record that another control host forwarded.
   void OnBackendRecord(const proto::BackendRecord& record, TimePoint now);
+  // Merges the records that another control host has sent with its reply to a
+  // heartbeat of this host.
+  void OnReply(const std::string& from, const proto::HelloReply& reply,
+               TimePoint now);
   void Tick(TimePoint now);
   void Flush(TimePoint now);
   // Transfers the leadership before a graceful stop.
--- a/src/fleet/fleet_host.cc
+++ b/src/fleet/fleet_host.cc
@@ -162,7 +162,8 @@
   options.self = Describe();
   options.seeds = settings_.seed_peers();
   options.authority_lease = authority_lease;
-  options.wants_backends = settings_.front.has_value();
+  options.wants_backends =
+      settings_.front.has_value() || settings_.control.has_value();
   member_ = std::make_unique<FleetMember>(options, *links_, MemberCallbacks());
   if (settings_.front) {
     job_client_ = std::make_unique<JobClient>(*links_, *member_);
@@ -570,6 +571,9 @@
   switch (message.kind_case()) {
     case proto::FleetMessage::kHelloReply:
       member_->OnReply(from, message.hello_reply(), now);
+      if (control_ != nullptr && from != settings_.host) {
+        control_->OnReply(from, message.hello_reply(), now);
+      }
       return;
     case proto::FleetMessage::kHello:
       if (control_ != nullptr) {
--- a/test/correctness/control_service_test.cc
+++ b/test/correctness/control_service_test.cc
@@ -161,7 +161,8 @@
 
   // Delivers the heartbeat of a front that has applied a version of the
   // evacuations, and returns the reply, which arrives over the front's links.
-  proto::HelloReply HearFront(const std::string& host, uint64_t version) {
+  proto::HelloReply HearFront(const std::string& host, uint64_t version,
+                              bool wants_backends = false) {
     Front& front = fronts_[host];
     if (front.links == nullptr) {
       const Address address = FreeAddress();
@@ -175,6 +176,7 @@
     }
     proto::HostHello hello;
     hello.set_evacuations_version(version);
+    hello.set_wants_backends(wants_backends);
     *hello.mutable_info() = front.info;
     std::optional<proto::HelloReply> reply;
     const auto limit = std::chrono::steady_clock::now() + kReplyTimeout;
@@ -497,6 +499,26 @@
   EXPECT_TRUE(answers_.empty()) << "the host may not have heard of d7 yet";
 }
 
+// Guards against a deregistration that is acknowledged and ends an earlier
+// start of the server: this host was paused when another control host forwarded
+// the later one.
+TEST_F(ControlServiceTest, ADeregistrationEndsTheStartThatAnotherHostReports) {
+  Lead();
+  proto::BackendRecord record;
+  record.set_id("b1");
+  record.set_started_unix_ms(100);
+  control_->Announce(record, now_);
+  proto::HelloReply reply;
+  record.set_started_unix_ms(200);
+  *reply.add_backends() = record;
+  control_->OnReply("c2", reply, now_);
+  control_->DeregisterBackend("b1", now_);
+  const proto::HelloReply told = HearFront("f1", 0, true);
+  ASSERT_EQ(told.backends_size(), 1);
+  EXPECT_TRUE(told.backends(0).gone());
+  EXPECT_EQ(told.backends(0).started_unix_ms(), 200);
+}
+
 // Guards against an acknowledged order that is lost with a power failure.
 TEST_F(ControlServiceTest, OrdersOfEvacuationSurviveARestart) {
   Lead();
--- a/test/correctness/fleet_test.cc
+++ b/test/correctness/fleet_test.cc
@@ -32,6 +32,16 @@
   return record;
 }
 
+std::vector<std::string> UsableIds(const BackendDirectory& directory,
+                                   TimePoint now,
+                                   bool drop_unresponsive = true) {
+  std::vector<std::string> ids;
+  for (const KnownBackend* known : directory.Usable(now, drop_unresponsive)) {
+    ids.push_back(known->record.id());
+  }
+  return ids;
+}
+
 TEST(BackendRegistry, IgnoresLateAnnouncements) {
   BackendRegistry registry(1);
   EXPECT_TRUE(registry.Announce(Record("a", 100, 5), kNow));
@@ -54,6 +64,47 @@
   EXPECT_TRUE(registry.Announce(Record("a", 200, 1), kNow));
 }
 
+// Guards against a deregistration that ends an earlier start of the server: the
+// control host that receives it has missed the later one.
+TEST(BackendRegistry, ADeregistrationEndsAStartThatAnotherHostHasReported) {
+  BackendRegistry behind(1);
+  BackendRegistry other(2);
+  behind.Announce(Record("a", 100, 5), kNow);
+  other.Announce(Record("a", 100, 5), kNow);
+  other.Announce(Record("a", 200, 1), kNow);
+  proto::HelloReply reply;
+  other.FillChanges(0, 0, reply, kNow + seconds(1));
+  for (const proto::BackendRecord& record : reply.backends()) {
+    EXPECT_TRUE(behind.Merge(record, kNow + seconds(1)));
+  }
+  BackendDirectory directory;
+  directory.Merge(Record("a", 200, 7), kNow);
+  directory.Merge(behind.Deregister("a", 250, kNow + seconds(1)), kNow);
+  EXPECT_TRUE(UsableIds(directory, kNow).empty());
+}
+
+// Guards against records that two control hosts send each other for ever, and
+// against servers that are brought back by old records.
+TEST(BackendRegistry, MergesOnlyWhatIsNew) {
+  BackendRegistry registry(1);
+  const auto cursor = [&registry] {
+    proto::HelloReply reply;
+    registry.FillChanges(1, 0, reply, kNow);
+    return reply.registry_cursor();
+  };
+  EXPECT_TRUE(registry.Merge(Record("a", 100, 1), kNow));
+  const uint64_t merged = cursor();
+  EXPECT_FALSE(registry.Merge(Record("a", 100, 1), kNow));
+  EXPECT_FALSE(registry.Merge(Record("a", 100, 2), kNow));
+  EXPECT_FALSE(registry.Merge(Record("a", 50, 9), kNow));
+  EXPECT_EQ(cursor(), merged);
+  registry.Deregister("a", 150, kNow);
+  EXPECT_FALSE(registry.Merge(Record("a", 100, 3), kNow));
+  proto::BackendRecord old = Record("b", 100, 1);
+  old.set_heard_ms_ago(61'000);
+  EXPECT_FALSE(registry.Merge(old, kNow));
+}
+
 TEST(BackendRegistry, SendsOnlyChanges) {
   BackendRegistry registry(7);
   registry.Announce(Record("a", 100, 1), kNow);
@@ -70,16 +121,6 @@
   EXPECT_EQ(other.backends_size(), 2);
 }
 
-std::vector<std::string> UsableIds(const BackendDirectory& directory,
-                                   TimePoint now,
-                                   bool drop_unresponsive = true) {
-  std::vector<std::string> ids;
-  for (const KnownBackend* known : directory.Usable(now, drop_unresponsive)) {
-    ids.push_back(known->record.id());
-  }
-  return ids;
-}
-
 // Guards against a deregistration that is acknowledged and ignored: only
 // changes are forwarded, so the control host that gets it may know an early
 // announcement alone.
