Do not refuse a retirement by an incomplete directory

A leader of the control group that had just started, or gone on after a pause, answered an order to retire a store host with 404 or 409, which ends the operator's call, though the host was there and enough others were.

Cause: the directory of hosts holds what has been heard since the start, or before the pause. Orders of evacuation took a start into account, and no pause.

Change: such a refusal becomes 503 until 3 s after the start or the end of a pause, by when all hosts have been heard.

Evidence: ControlServiceTest.ARetirementIsNotRefusedByAnIncompleteDirectory fails without the check; ARetirementIsRefusedByACompleteDirectory passes with and without.

--- a/src/fleet/control_service.cc
+++ b/src/fleet/control_service.cc
@@ -27,10 +27,12 @@
 // Forwarded calls are remembered for several times as long as they are sent
 // again.
 constexpr milliseconds kForwardedCallMemory{10'000};
-// This long after its start, a control host has received a heartbeat or an
-// announcement from every host and backend server in contact: servers announce
-// themselves about every 1,200 ms, and one announcement may be lost.
+// This long after its start or a pause, a control host has received a heartbeat
+// or an announcement from every host and backend server in contact: servers
+// announce themselves about every 1,200 ms, and one announcement may be lost.
 constexpr milliseconds kDirectoryFillTime{3'000};
+// A process that has not run for this long was paused.
+constexpr milliseconds kPaused{1'000};
 // A front without a heartbeat for this long (four missed) is no longer listed
 // as live, and its backend servers are assigned to other fronts.
 constexpr milliseconds kFrontTimeout{1'000};
@@ -102,7 +104,8 @@
     return tl::unexpected<Error>(opened.error());
   }
   service->group_ = std::move(*opened);
-  service->started_at_ = now;
+  service->listening_since_ = now;
+  service->last_tick_at_ = now;
   service->founding_seeds_ = service->group_->PendingFoundingSeeds();
   if (!service->founding_seeds_.empty()) {
     LogInfo("founding_pending",
@@ -326,6 +329,10 @@
 }
 
 void ControlService::Tick(TimePoint now) {
+  if (now - last_tick_at_ > kPaused) {
+    listening_since_ = now;
+  }
+  last_tick_at_ = now;
   group_->Tick(now);
   if (!founding_seeds_.empty()) {
     MaybeBootstrapControlGroup(now);
@@ -644,6 +651,12 @@
                      });
 }
 
+ErrorCode ControlService::RefusalByDirectory(ErrorCode refusal,
+                                             TimePoint now) const {
+  return now < listening_since_ + kDirectoryFillTime ? ErrorCode::kNoQuorum
+                                                     : refusal;
+}
+
 // The order is proposed also when it is in effect already: an opposite order
 // may have been proposed and not committed yet.
 void ControlService::SetEvacuation(const proto::ControlCall& call,
@@ -651,10 +664,8 @@
   const proto::ControlCommand::SetEvacuation& order = call.set_evacuation();
   const std::string& domain = order.failure_domain();
   if (!IsKnownDomain(domain)) {
-    const bool may_be_unheard = now < started_at_ + kDirectoryFillTime;
-    reply(ErrorAnswer(
-        {may_be_unheard ? ErrorCode::kNoQuorum : ErrorCode::kNotFound,
-         "no failure domain " + domain}));
+    reply(ErrorAnswer({RefusalByDirectory(ErrorCode::kNotFound, now),
+                       "no failure domain " + domain}));
     return;
   }
   if (call.evacuations_version() < state_.LastEvacuationChange(domain)) {
@@ -724,12 +735,13 @@
   }
   const auto found = directory_.hosts().find(host);
   if (found == directory_.hosts().end() || !found->second.info.store()) {
-    reply(ErrorAnswer({ErrorCode::kNotFound, "no store host " + host}));
+    reply(ErrorAnswer({RefusalByDirectory(ErrorCode::kNotFound, now),
+                       "no store host " + host}));
     return;
   }
   const size_t left = StoresLeftWithout(host, now);
   if (left < 2 * options_.tolerated_losses + 1) {
-    reply(ErrorAnswer({ErrorCode::kConflict,
+    reply(ErrorAnswer({RefusalByDirectory(ErrorCode::kConflict, now),
                        std::to_string(left) +
                            " store hosts would remain, too few to "
                            "tolerate the configured number of losses"}));
--- a/src/fleet/control_service.h
+++ b/src/fleet/control_service.h
@@ -123,6 +123,10 @@
                      const Reply& reply);
   bool IsKnownDomain(const std::string& failure_domain) const;
   void UpdateEvacuations(TimePoint now);
+  // Returns the error for an order that is refused for what the directory of
+  // hosts says: kNoQuorum, so that the order is sent again, while this host may
+  // not have heard from all hosts.
+  ErrorCode RefusalByDirectory(ErrorCode refusal, TimePoint now) const;
   void Retire(const std::string& host, TimePoint now, const Reply& reply);
   bool Retired(const std::string& host, TimePoint now) const;
   size_t StoresLeftWithout(const std::string& host, TimePoint now) const;
@@ -161,7 +165,9 @@
   RateOwner rates_;
   uint64_t next_call_ = RandomCallNumber();
   std::map<uint64_t, PendingCall> calls_;
-  TimePoint started_at_;
+  // When the process started, or went on after a pause.
+  TimePoint listening_since_;
+  TimePoint last_tick_at_;
   EvacuationAcks evacuation_acks_;
   // Orders of evacuation that other hosts have forwarded, by host and call.
   // Such an order is executed once: executed again when it is sent again, it
--- a/test/correctness/control_service_test.cc
+++ b/test/correctness/control_service_test.cc
@@ -519,6 +519,63 @@
   EXPECT_EQ(told.backends(0).started_unix_ms(), 200);
 }
 
+// Guards against an operator that gives up: a leader that has just started, or
+// gone on after a pause, answered that a store host is unknown or that too few
+// would remain, because it had not heard from the others again.
+TEST_F(ControlServiceTest, ARetirementIsNotRefusedByAnIncompleteDirectory) {
+  const auto retire = [this] {
+    proto::ControlCall call;
+    call.set_retire_host("s1");
+    control_->Call(call, now_, [this](const proto::ControlAnswer& answer) {
+      answers_.push_back(answer.error_name());
+    });
+    control_->Flush(now_);
+  };
+  const auto hear_stores = [this](const std::vector<const char*>& names) {
+    for (const char* host : names) {
+      Hear(Store(host, false));
+    }
+  };
+  Lead();
+  hear_stores({"s1", "s2", "s3", "s4"});
+  now_ += seconds(6);
+  Run(milliseconds(2'000));
+  ASSERT_TRUE(control_->status().leads());
+  hear_stores({"s1", "s2"});
+  retire();
+  Run(milliseconds(100));
+  EXPECT_TRUE(answers_.empty()) << answers_[0];
+  hear_stores({"s1", "s2", "s3", "s4"});
+  retire();
+  Run(milliseconds(100));
+  EXPECT_EQ(answers_, std::vector<std::string>{""});
+  answers_.clear();
+
+  Start(false, {listen_});
+  HearSelf();
+  Run(milliseconds(1'000));
+  ASSERT_TRUE(control_->status().leads());
+  retire();
+  EXPECT_EQ(answers_, std::vector<std::string>{""}) << "it is known already";
+}
+
+TEST_F(ControlServiceTest, ARetirementIsRefusedByACompleteDirectory) {
+  Lead();
+  for (const char* host : {"s1", "s2", "s3"}) {
+    Hear(Store(host, false));
+  }
+  for (const char* host : {"s1", "s9"}) {
+    proto::ControlCall call;
+    call.set_retire_host(host);
+    control_->Call(call, now_, [this](const proto::ControlAnswer& answer) {
+      answers_.push_back(answer.error_name());
+    });
+  }
+  EXPECT_EQ(answers_, (std::vector<std::string>{
+                          std::string(ErrorName(ErrorCode::kConflict)),
+                          std::string(ErrorName(ErrorCode::kNotFound))}));
+}
+
 // Guards against an acknowledged order that is lost with a power failure.
 TEST_F(ControlServiceTest, OrdersOfEvacuationSurviveARestart) {
   Lead();
