--- a/src/group/membership_planner.cc
+++ b/src/group/membership_planner.cc
@@ -202,16 +202,15 @@
   // with the most voters, spreads the voters more evenly. The votes of a domain
   // that was away have moved to the others, and one of those may be lost next.
   bool ImprovesSpread(const std::string& learner) const {
-    const bool settled = next_.voters_size() % 2 != 0 &&
-                         CountHealthyVoters() == in_.max_voters;
+    const bool settled =
+        next_.voters_size() % 2 != 0 && CountHealthyVoters() == in_.max_voters;
     const size_t voters_beside = VotersIn(DomainOf(learner));
-    return settled &&
-           std::any_of(next_.voters().begin(), next_.voters().end(),
-                       [&](const std::string& voter) {
-                         const std::string domain = DomainOf(voter);
-                         return !domain.empty() &&
-                                VotersIn(domain) > voters_beside + 1;
-                       });
+    return settled && std::any_of(next_.voters().begin(), next_.voters().end(),
+                                  [&](const std::string& voter) {
+                                    const std::string domain = DomainOf(voter);
+                                    return !domain.empty() &&
+                                           VotersIn(domain) > voters_beside + 1;
+                                  });
   }
 
   bool RemoveOrDemoteVoter() {
--- a/src/group/membership_planner.h
+++ b/src/group/membership_planner.h
@@ -3,8 +3,8 @@
 //
 // It handles a host that returns with an empty disk (a new node, which joins as
 // a learner first), a host replaced by one at another address, hosts added at
-// run time, hosts to be decommissioned, and voters that fall silent. Each change
-// adds or removes at most one voter. Planning is a pure function.
+// run time, hosts to be decommissioned, and voters that fall silent. Each
+// change adds or removes at most one voter. Planning is a pure function.
 //
 // A host that is replaced at another address never says that its disk is gone,
 // so its vote moves on its silence alone. That is safe: the learner that takes
--- a/src/jobs/store_service.cc
+++ b/src/jobs/store_service.cc
@@ -110,8 +110,8 @@
   for (const std::string& host : confirmed.live_stores()) {
     const auto known = candidates_.find(host);
     if (known != candidates_.end()) {
-      known->second.last_contact = std::max(
-          known->second.last_contact, FromMicros(confirmed.sent_at_us()));
+      known->second.last_contact = std::max(known->second.last_contact,
+                                            FromMicros(confirmed.sent_at_us()));
     }
   }
   // `hosts` contains only the other hosts.
--- a/test/property/group_property.cc
+++ b/test/property/group_property.cc
@@ -523,9 +523,8 @@
     run(*rc::gen::inRange(0, 30));
     const bool leader_lost = *rc::gen::arbitrary<bool>();
     const auto drawn = *rc::gen::inRange<size_t>(0, present.size());
-    const size_t victim = leader_lost && fleet.HasLeader()
-                              ? fleet.leader()
-                              : present[drawn];
+    const size_t victim =
+        leader_lost && fleet.HasLeader() ? fleet.leader() : present[drawn];
     // The disk stays away, so that nothing tells the group that it is gone.
     fleet.Kill(victim, false);
     run(*rc::gen::element(0, 1, 50, 100, 600));
