--- a/src/gateway/stall_policy.h
+++ b/src/gateway/stall_policy.h
@@ -53,7 +53,7 @@
 // The allowed gap for routes without a gap target.
 inline constexpr milliseconds kDefaultGap{1'000};
 
-// Returns how much longer than usual a sound server may be silent while it
+// Returns how much longer than usual a healthy server may send nothing while it
 // reads prompts of `tokens` tokens. `speed` is its learned speed, 1 is usual.
 inline Duration ExtraReadingTime(uint64_t tokens, double speed = 1) {
   if (tokens <= kCoveredPromptTokens) {
--- a/src/group/membership_planner.cc
+++ b/src/group/membership_planner.cc
@@ -8,20 +8,20 @@
 namespace sequoialb {
 namespace {
 
-// A member that has not replied for this long counts as silent, and a learner
-// may take its vote.
+// A member that has not replied for this long counts as unresponsive, and a
+// learner may take its vote.
 //
 // The budget: a deployment may lose the next disk once the successor of a lost
 // host has had its time to catch up, 4,600 ms or more (CatchUpS of DEPLOY.md).
 // The lost host may have led, and its successor may start at the same moment.
 // Until the vote has moved, these follow each other:
 //   election, with one split vote               2,000 ms
-//   silence, since the election                 1,500 ms
+//   no reply, since the election                1,500 ms
 //   promotion and removal, each planned every
 //   200 ms and committed                          700 ms
 // Beside the first two, the successor starts, is told of the group, joins it as
 // a learner and receives its state.
-constexpr milliseconds kSilentAfter{1'500};
+constexpr milliseconds kUnresponsiveAfter{1'500};
 // A host that is no member joins only if it has had contact within this time.
 constexpr milliseconds kContactLost{6'000};
 // A learner that has not replied for this long is removed.
@@ -67,15 +67,15 @@
   }
 
   // For how long a member has not replied in this leadership.
-  Duration SilenceOf(const std::string& node) const {
+  Duration TimeSinceReply(const std::string& node) const {
     const auto found = in_.last_replies.find(node);
     const TimePoint last_reply =
         found == in_.last_replies.end() ? TimePoint() : found->second;
     return in_.now - std::max(last_reply, in_.leads_since);
   }
 
-  bool Silent(const std::string& node) const {
-    return node != in_.leader && SilenceOf(node) > kSilentAfter;
+  bool Unresponsive(const std::string& node) const {
+    return node != in_.leader && TimeSinceReply(node) > kUnresponsiveAfter;
   }
 
   bool Retiring(const std::string& node) const {
@@ -99,13 +99,13 @@
     return static_cast<size_t>(std::count_if(
         next_.voters().begin(), next_.voters().end(),
         [&](const std::string& voter) {
-          return !Silent(voter) && !Replaced(voter) && !Retiring(voter);
+          return !Unresponsive(voter) && !Replaced(voter) && !Retiring(voter);
         }));
   }
 
   bool RemoveUnusableLearner() {
     for (const std::string& learner : in_.membership.learners()) {
-      const bool lost = SilenceOf(learner) > kLearnerDroppedAfter;
+      const bool lost = TimeSinceReply(learner) > kLearnerDroppedAfter;
       if (Replaced(learner) || lost || Retiring(learner)) {
         Erase(*next_.mutable_learners(), learner);
         return true;
@@ -134,7 +134,7 @@
     size_t members = 0;
     for (const auto& [host, candidate] : in_.candidates) {
       const bool counts = domain == nullptr
-                              ? !Silent(candidate.node)
+                              ? !Unresponsive(candidate.node)
                               : candidate.failure_domain == *domain;
       members += counts && IsMember(candidate.node) && !Retiring(candidate.node)
                      ? 1
@@ -216,7 +216,7 @@
   bool RemoveOrDemoteVoter() {
     const size_t healthy = CountHealthyVoters();
     for (const std::string& voter : in_.membership.voters()) {
-      const bool removable = Retiring(voter) || Silent(voter);
+      const bool removable = Retiring(voter) || Unresponsive(voter);
       // A voter is removed only after a replacement has been promoted: with
       // fewer voters, one more failure could cost the quorum.
       const bool enough =
--- a/src/group/membership_planner.h
+++ b/src/group/membership_planner.h
@@ -3,12 +3,13 @@
 //
 // It handles a host that returns with an empty disk (a new node, which joins as
 // a learner first), a host replaced by one at another address, hosts added at
-// run time, hosts to be decommissioned, and voters that fall silent. Each
-// change adds or removes at most one voter. Planning is a pure function.
+// run time, hosts to be decommissioned, and voters that become unresponsive.
+// Each change adds or removes at most one voter. Planning is a pure function.
 //
 // A host that is replaced at another address never says that its disk is gone,
-// so its vote moves on its silence alone. That is safe: the learner that takes
-// the vote holds the log, and a voter that returns becomes a learner.
+// so its vote moves only because it does not reply. That is safe: the learner
+// that takes the vote holds the log, and a voter that returns becomes a
+// learner.
 #pragma once
 
 #include <map>
@@ -51,9 +52,9 @@
   // becomes a member. Further members only cost memory, disk space and traffic
   // between failure domains.
   std::optional<size_t> standbys;
-  // When the leader was elected. A member counts as silent only after it has
-  // not replied for long enough since then, because a new leader may not have
-  // received its first reply yet.
+  // When the leader was elected. A member counts as unresponsive only after it
+  // has not replied for long enough since then, because a new leader may not
+  // have received its first reply yet.
   TimePoint leads_since;
   TimePoint now;
 };
--- a/src/jobs/item_runner.cc
+++ b/src/jobs/item_runner.cc
@@ -487,15 +487,15 @@
   for (Run* run : stalled) {
     // A server that goes on with other answers may have queued the item.
     const bool answering = front_.pool.IsAnswering(run->backend, now);
-    LogInfo(
-        "item_stalled",
-        {{"job", run->offer.job()},
-         {"item", run->offer.item().id()},
-         {"backend", run->backend},
-         {"prompt_tokens", std::to_string(run->prompt_tokens)},
-         {"silent_ms", std::to_string(RemainingMs(now, run->last_progress_at))},
-         {"stalled_runs", std::to_string(run->offer.stalled_runs())},
-         {"answers_others", answering ? "yes" : "no"}});
+    LogInfo("item_stalled",
+            {{"job", run->offer.job()},
+             {"item", run->offer.item().id()},
+             {"backend", run->backend},
+             {"prompt_tokens", std::to_string(run->prompt_tokens)},
+             {"stalled_ms",
+              std::to_string(RemainingMs(now, run->last_progress_at))},
+             {"stalled_runs", std::to_string(run->offer.stalled_runs())},
+             {"answers_others", answering ? "yes" : "no"}});
     if (answering) {
       front_.pool.RecordFull(run->backend, now);
     } else {
--- a/src/jobs/item_scheduler.h
+++ b/src/jobs/item_scheduler.h
@@ -106,7 +106,7 @@
     bool has_last_event = false;
     // Total run time of the item's attempts so far.
     Duration run_time{0};
-    // Runs since the last progress that ended because their server was silent.
+    // Runs since the last progress that ended because their server stalled.
     uint32_t stalled_runs = 0;
   };
   // The newest catalog without a job's route, when a front first had it, and
--- a/test/correctness/fleet_test.cc
+++ b/test/correctness/fleet_test.cc
@@ -537,7 +537,7 @@
 
 // Guards against the loss of the group's quorum when the next disk is lost as
 // soon as the successor of a lost host has had its time to catch up.
-TEST_F(Planning, AnUpToDateLearnerTakesTheVoteOfAHostSilentForSeconds) {
+TEST_F(Planning, AnUpToDateLearnerTakesTheVoteOfAnUnresponsiveVoter) {
   AddCandidate("e", "1", "d3");
   Settle();
   ASSERT_TRUE(Has(input_.membership.learners(), "e@1"));
