--- a/src/fleet/backend_registry.h
+++ b/src/fleet/backend_registry.h
@@ -21,8 +21,8 @@
 // The control host's side: records announcements and reports changes. A server
 // may send each of its calls to another control host, so each must know what
 // the others have received: a deregistration names no start, and ends the one
-// that its receiver knows. Changes are passed on at once, and control hosts
-// keep asking each other for what they have missed.
+// that its receiver knows. A control host sends each change to the others
+// at once, and asks them with its heartbeats for the changes that it lacks.
 class BackendRegistry {
  public:
   explicit BackendRegistry(uint64_t incarnation) : incarnation_(incarnation) {}
--- a/src/fleet/control_service.h
+++ b/src/fleet/control_service.h
@@ -125,7 +125,7 @@
   void UpdateEvacuations(TimePoint now);
   // Returns the error for an order that is refused for what the directory of
   // hosts says: kNoQuorum, so that the order is sent again, while this host may
-  // not have heard from all hosts.
+  // not have received a heartbeat from every host yet.
   ErrorCode RefusalByDirectory(ErrorCode refusal, TimePoint now) const;
   void Retire(const std::string& host, TimePoint now, const Reply& reply);
   bool Retired(const std::string& host, TimePoint now) const;
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -289,6 +289,8 @@
   // Returns how many slots the server has for requests that start now: at most
   // one while it is cold, since the next one waits for the server's cold rate.
   double UsableSlots(const Load& load, TimePoint now) const;
+  // Returns whether all answers that the server has begun for this front have
+  // stalled.
   bool HasStalled(const Load& load, TimePoint now) const;
   // Returns an estimate of the requests that other fronts have on the server.
   double RequestsOfOthers(const Load& load, TimePoint now) const;
--- a/src/group/membership_planner.cc
+++ b/src/group/membership_planner.cc
@@ -199,8 +199,9 @@
   }
 
   // True when the learner's vote, in exchange for one of the failure domain
-  // with the most voters, spreads the voters more evenly. The votes of a domain
-  // that was away have moved to the others, and one of those may be lost next.
+  // with the most voters, spreads the voters more evenly. The votes of a
+  // domain that was unreachable have moved to the others, and one of those may
+  // be lost next.
   bool ImprovesSpread(const std::string& learner) const {
     const bool settled =
         next_.voters_size() % 2 != 0 && CountHealthyVoters() == in_.max_voters;
--- a/src/group/membership_planner.h
+++ b/src/group/membership_planner.h
@@ -6,9 +6,9 @@
 // run time, hosts to be decommissioned, and voters that become unresponsive.
 // Each change adds or removes at most one voter. Planning is a pure function.
 //
-// A host that is replaced at another address never says that its disk is gone,
-// so its vote moves only because it does not reply. That is safe: the learner
-// that takes the vote holds the log, and a voter that returns becomes a
+// No message reports the lost disk of a host that is replaced at another
+// address, so its vote moves only because it does not reply. That is safe: the
+// learner that takes the vote holds the log, and a voter that returns becomes a
 // learner.
 #pragma once
 
--- a/test/correctness/control_service_test.cc
+++ b/test/correctness/control_service_test.cc
@@ -521,7 +521,7 @@
 
 // Guards against an operator that gives up: a leader that has just started, or
 // gone on after a pause, answered that a store host is unknown or that too few
-// would remain, because it had not heard from the others again.
+// would remain, because no heartbeat of the others had arrived since then.
 TEST_F(ControlServiceTest, ARetirementIsNotRefusedByAnIncompleteDirectory) {
   const auto retire = [this] {
     proto::ControlCall call;
